Write progress one batch after the other, also at the end of a term

Cause: at the end of a term the last write ran beside the one under way. TestResignWhileWriting failed before.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -50,6 +50,10 @@
 	officeMu sync.Mutex
 	office   office
 
+	// committing is taken for a write of changes: what a worker may forget follows
+	// from all writes before.
+	committing chan struct{}
+
 	wake  chan struct{}
 	flush chan struct{}
 	// turn is the entry that was asked last to call the store.
@@ -67,6 +71,8 @@
 		office:   o,
 		wake:     make(chan struct{}, 1),
 		flush:    make(chan struct{}, 1),
+
+		committing: make(chan struct{}, 1),
 	}
 }
 
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -55,6 +55,9 @@
 
 // commitChanges makes one batch durable and returns whether there is more.
 func (l *leader) commitChanges(ctx context.Context) (bool, error) {
+	l.committing <- struct{}{}
+	defer func() { <-l.committing }()
+
 	l.mu.Lock()
 	b, err := l.fleet.Changes(batchRows)
 	l.mu.Unlock()
--- a/coordinator/progress_test.go
+++ b/coordinator/progress_test.go
@@ -149,3 +149,47 @@
 		assert.ErrorIs(t, err, peer.ErrSuperseded)
 	})
 }
+
+// TestResignWhileWriting checks that a write at the end of a term waits for the
+// one under way: what that one has is not durable if it fails, and no worker may
+// forget it.
+func TestResignWhileWriting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewRowStore()
+		l := newTestLeader(t, s)
+
+		calls := 0
+		s.Lose = func(rows.Transaction) (bool, time.Duration) {
+			if calls++; calls > 1 {
+				return false, 0
+			}
+
+			time.Sleep(100 * time.Millisecond)
+
+			return true, time.Hour
+		}
+
+		l.finishTask(0)
+
+		go func() {
+			_, err := l.commitChanges(t.Context())
+			assert.Check(t, errors.Is(err, rows.ErrUnknown), "%v", err)
+		}()
+
+		synctest.Wait()
+		l.mu.Lock()
+		l.fleet.Report(0, "side-1", fleet.Report{Ends: []gate.Event{{
+			End: gate.End{
+				Number:  2,
+				Task:    job.TaskID{Job: "00000000000000bb"},
+				Attempt: 1,
+				How:     gate.Stopped,
+			},
+		}}})
+		l.mu.Unlock()
+
+		_, err := l.commitChanges(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, len(s.Rows(progressTable)), 1, "the first write failed, and its end was left out")
+	})
+}
