Make the leader's passes cheap

A pass compared each waiting task with all workers, and each serving task there with all runs beside it, after each report: 4.6 ms with 51 workers (BenchmarkSchedule), 300 reports a second. Change: what serving tasks bear is kept until something on the worker changes; a size that fits nowhere is tried once a pass; passes are 5 ms apart.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -27,6 +27,10 @@
 const (
 	// commitPause is kept after a transaction that failed.
 	commitPause = 100 * time.Millisecond
+	// schedulePause gathers reports into one pass over the jobs: at 400 reports a
+	// second, passes would take a twentieth of a core (BenchmarkSchedule). It adds
+	// to the time until a task starts.
+	schedulePause = 5 * time.Millisecond
 )
 
 var (
@@ -366,6 +370,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-l.wake:
+			pause(ctx, schedulePause)
 		case <-timer.C:
 		}
 
--- /dev/null
+++ b/core/fleet/bench_test.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"trefoildeck/core/gate"
+	"trefoildeck/core/interference"
+	"trefoildeck/core/job"
+)
+
+// crowded is a fleet of workers of 32 cores that are full of serving and filling
+// tasks, and of jobs that wait for room.
+func crowded(workers, waiting int) *Fleet {
+	f := New(1)
+
+	for i := range workers {
+		r := described(fmt.Sprintf("n%d", i))
+		r.Capacity = job.Size{
+			MilliCores: 32_000,
+			MemoryMB:   125_000,
+		}
+		f.Report(0, fmt.Sprintf("n%d", i), r)
+	}
+
+	estimates := map[interference.Pair]interference.Estimate{}
+
+	for a := range 10 {
+		for b := range 10 {
+			estimates[interference.Pair{
+				Filling: fmt.Sprintf("f%d", a),
+				Serving: fmt.Sprintf("s%d", b),
+			}] = interference.Estimate{
+				Factor: float64(a),
+				Weight: 3,
+			}
+		}
+	}
+
+	f.Interference.Put("n0", estimates)
+
+	for i := range workers {
+		f.Add(0, 0, record(fmt.Sprintf("%016x", i), job.Step{
+			Count: 4,
+			Size: job.Size{
+				MilliCores: 6500,
+				MemoryMB:   13_000,
+			},
+			LongRunning:   true,
+			Image:         fmt.Sprintf("s%d", i%10),
+			TargetLatency: 150 * time.Millisecond,
+		}))
+	}
+
+	for i := range waiting {
+		f.Add(0, 0, record(fmt.Sprintf("%016x", workers+2*i), job.Step{
+			Count: 20,
+			Size: job.Size{
+				MilliCores: 3500,
+				MemoryMB:   6500,
+			},
+			Estimate:      1700 * time.Millisecond,
+			Image:         fmt.Sprintf("f%d", i%10),
+			Fills:         true,
+			Checkpointing: true,
+		}))
+		f.Add(0, 0, record(fmt.Sprintf("%016x", workers+2*i+1), job.Step{
+			Count:    10,
+			Size:     job.Size{MilliCores: 550},
+			Estimate: 640 * time.Millisecond,
+		}))
+	}
+
+	return f
+}
+
+// BenchmarkSchedule is the time of one pass after one end, by the number of
+// waiting jobs of each of two kinds.
+func BenchmarkSchedule(b *testing.B) {
+	for _, workers := range []int{11, 51, 300} {
+		for _, waiting := range []int{10, 100} {
+			b.Run(fmt.Sprintf("Workers%d/Waiting%d", workers, waiting), func(b *testing.B) {
+				f := crowded(workers, waiting*workers/11)
+				running := []fleetRun{}
+				now := time.Second
+
+				collect := func(orders map[string]*Orders) {
+					for n, o := range orders {
+						for _, s := range o.Starts {
+							if s.Target == 0 {
+								running = append(running, fleetRun{n, s})
+							}
+						}
+					}
+				}
+				collect(f.Schedule(now, time.Time{}))
+
+				b.ResetTimer()
+
+				for i := range b.N {
+					now += time.Millisecond
+					if len(running) > 0 {
+						r := running[0]
+						running = running[1:]
+						f.End(now, r.node, gate.End{
+							Number:  int64(i),
+							Task:    r.order.Task,
+							Attempt: r.order.Attempt,
+							How:     gate.Stopped,
+						})
+					}
+
+					collect(f.Schedule(now, time.Time{}))
+				}
+			})
+		}
+	}
+}
+
+type fleetRun struct {
+	node  string
+	order gate.Order
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -71,7 +71,10 @@
 	jobs    map[string]*jobRow
 	open    []*jobRow
 	workers map[string]*workerRow
-	orders  map[string]*Orders
+	// ranks has the workers in the order of their names.
+	ranks  []*workerRow
+	full   full
+	orders map[string]*Orders
 	// missing has the nodes that have not reported in this term. What the last
 	// leader started there is unknown until they do, or until settled.
 	missing map[string]bool
@@ -104,6 +107,7 @@
 		term:    term,
 		jobs:    map[string]*jobRow{},
 		workers: map[string]*workerRow{},
+		full:    full{},
 		orders:  map[string]*Orders{},
 		missing: map[string]bool{},
 		changed: map[string]*jobRow{},
@@ -145,6 +149,7 @@
 
 	blocked := f.uncertain(now)
 	f.sortOpen()
+	clear(f.full)
 
 	for _, j := range f.open {
 		if j.loaded && blocked {
@@ -199,7 +204,7 @@
 		earlier(now + f.nextStart.Sub(f.wall))
 	}
 
-	for _, w := range f.workers {
+	for _, w := range f.ranks {
 		if !w.connected && len(w.runs) > 0 {
 			earlier(w.heard + LapseTime)
 		}
--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -61,7 +61,7 @@
 // move stops runs that are held back a lot, or make no progress, where another
 // worker would let them run. They go on there from their checkpoints.
 func (f *Fleet) move(now time.Duration) {
-	for _, w := range f.workers {
+	for _, w := range f.ranks {
 		if !w.connected || !w.ready {
 			continue
 		}
@@ -121,7 +121,7 @@
 
 // elsewhere reports whether another worker would let a task of a step run now.
 func (f *Fleet) elsewhere(now time.Duration, j *jobRow, s *stepRow, here *workerRow) bool {
-	for _, w := range f.workers {
+	for _, w := range f.ranks {
 		if w == here || !f.may(now, j, s, w) {
 			continue
 		}
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -70,12 +69,17 @@
 
 // choose returns the best worker for a task, or nil.
 func (f *Fleet) choose(now time.Duration, j *jobRow, s *stepRow, t *taskRow) *workerRow {
+	c := classOf(j, s.spec)
+	if f.full.covers(c, s.spec.Size) {
+		return nil
+	}
+
 	var (
 		best      *workerRow
 		bestScore int64
 	)
 
-	for _, w := range f.workers {
+	for _, w := range f.ranks {
 		if !f.may(now, j, s, w) {
 			continue
 		}
@@ -94,6 +98,10 @@
 		}
 	}
 
+	if best == nil && s.spec.AntiAffinity == 0 && !s.spec.Gang {
+		f.full.add(c, s.spec.Size)
+	}
+
 	return best
 }
 
@@ -177,44 +185,15 @@
 	left += w.reserved * (100 - servingUse) / 100
 	fits := left >= s.Size.MilliCores
 	room := 1.0
+	share := w.share(s)
 
-	if w.serving > 0 {
-		for _, r := range w.runs {
-			if r.step.TargetLatency > 0 {
-				room = min(room, f.bears(w, r)-f.rise(s, w, r))
-			}
-		}
+	for _, m := range f.margins(w) {
+		room = min(room, m.left-f.Interference.Factor(s.Image, m.image)*share)
 	}
 
 	return left + int64(room*latencyScale), fits && room >= 0
 }
 
-// rise is by how much a filling task raises the logarithm of a latency.
-func (f *Fleet) rise(s *job.Step, w *workerRow, serving *run) float64 {
-	share := float64(s.Size.MilliCores) / float64(max(1, w.capacity.MilliCores))
-
-	return f.Interference.Factor(s.Image, serving.step.Image) * share
-}
-
-// bears is by how much the logarithm of a serving task's latency may rise. What
-// was started too late to show in the reading counts already.
-func (f *Fleet) bears(w *workerRow, serving *run) float64 {
-	ratio := unknownRatio
-	if serving.figure > 0 {
-		ratio = float64(serving.figure) / float64(serving.step.TargetLatency.Milliseconds())
-	}
-
-	room := math.Log(bearableRatio / ratio)
-
-	for _, r := range w.runs {
-		if r.step.Fills && r.started+latencyAge > serving.seen {
-			room -= f.rise(r.step, w, serving)
-		}
-	}
-
-	return room
-}
-
 func (f *Fleet) start(now time.Duration, j *jobRow, s *stepRow, t *taskRow, w *workerRow, id job.TaskID) {
 	attempt := max(t.attempt+1, int(f.term-1)*attemptsPerTerm+1)
 	place := w.place(now)
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"trefoildeck/core/gate"
@@ -33,6 +35,12 @@
 	health    health
 	restUntil time.Duration
 	movedAt   time.Duration
+
+	// margins are what the serving tasks bear, as of a generation of the
+	// estimates; stale after any change of what runs.
+	margins      []margin
+	marginsOf    int
+	marginsStale bool
 }
 
 // run is an attempt that is, or may be, on a worker.
@@ -73,6 +81,7 @@
 
 // account adds n tasks of a step to what is used.
 func (w *workerRow) account(s *job.Step, n int64) {
+	w.marginsStale = true
 	size := s.Size
 	if s.Fills {
 		w.filling += n * size.MilliCores
@@ -116,9 +125,12 @@
 			runs: map[job.TaskID]*run{},
 		}
 		f.workers[node] = w
+		f.ranks = append(f.ranks, w)
+		slices.SortFunc(f.ranks, func(a, b *workerRow) int { return cmp.Compare(a.node, b.node) })
 	}
 
 	w.heard = now
+	w.marginsStale = true
 	// Orders that the report gives rise to can be sent.
 	w.connected = w.connected || r.Full
 
@@ -244,7 +256,7 @@
 // expire takes runs as lapsed on workers that nobody could speak to for longer
 // than their leases last.
 func (f *Fleet) expire(now time.Duration) {
-	for _, w := range f.workers {
+	for _, w := range f.ranks {
 		if w.connected || len(w.runs) == 0 || now < w.heard+LapseTime {
 			continue
 		}
--- a/core/interference/interference.go
+++ b/core/interference/interference.go
@@ -206,6 +206,8 @@
 	sources map[string]map[Pair]Estimate
 	pooled  map[Pair]Estimate
 	changed bool
+	// generation counts the changes.
+	generation int
 }
 
 // NewPool returns an empty pool.
@@ -228,9 +230,13 @@
 		known[pair] = e
 		p.pooled[pair] = p.pool(pair)
 		p.changed = true
+		p.generation++
 	}
 }
 
+// Generation changes with each change of what Factor returns.
+func (p *Pool) Generation() int { return p.generation }
+
 // pool is the weighted mean of what all sources know of a pair.
 func (p *Pool) pool(pair Pair) Estimate {
 	var sum Estimate
