Place serving tasks beside others of their image

Serving tasks were packed whatever their image, so that four images served on a worker, and hardly any worker suited a filling image.

--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -130,8 +130,13 @@
 	// avoidPenalty keeps a task off the worker where it failed, as long as
 	// another one has room at all.
 	avoidPenalty = 1 << 40
-	// servingPenalty keeps tasks that serve together.
-	servingPenalty = 1 << 20
+	// alikePreference puts a task that serves beside others of its image.
+	alikePreference = 1 << 22
+	// emptyPreference puts it where none serves, rather than beside other images.
+	emptyPreference = 1 << 21
+	// mixedPenalty counts for each task of another image that serves, and against
+	// it for each of the same.
+	mixedPenalty = 1 << 17
 	// remotePenalty keeps tasks near their data.
 	remotePenalty = 1 << 18
 )
@@ -155,14 +160,44 @@
 		}
 
 		return score - penalty, true
-	case s.TargetLatency > 0 && w.serving > 0:
-		// Together, so that other workers are free for tasks that fill.
-		return servingPenalty + left - penalty, true
+	case s.TargetLatency > 0:
+		return f.rateServing(s, w, left) - penalty, true
 	default:
 		return left - penalty, true
 	}
 }
 
+// rateServing scores a worker for a task that serves. A task that fills needs a
+// worker where it disturbs no serving image: the fewer images serve on each
+// worker, the more workers suit it.
+func (f *Fleet) rateServing(s *job.Step, w *workerRow, left int64) int64 {
+	var alike, others int64
+
+	disturbance := 0.0
+
+	for _, r := range w.runs {
+		switch {
+		case r.step.Fills:
+			disturbance += f.Interference.Factor(r.step.Image, s.Image) * w.share(r.step)
+		case r.step.TargetLatency > 0 && r.step.Image == s.Image:
+			alike++
+		case r.step.TargetLatency > 0:
+			others++
+		}
+	}
+
+	score := left - int64(disturbance*latencyScale)
+
+	switch {
+	case others > 0:
+		return score + (alike-others)*mixedPenalty
+	case alike > 0:
+		return score + alikePreference
+	default:
+		return score + emptyPreference
+	}
+}
+
 const (
 	// servingUse is the share of its size that a serving task uses, in percent.
 	// Services are sized for their peaks.
