Keep serving tasks further from their targets

Cause: with harmless pairs running, serving tasks lose more than filling ones gain: their load swings by half within 10 s, and a task placed now runs for 2 s and more.

--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -204,7 +204,7 @@
 	servingUse = 50
 	// bearableRatio is the share of its target up to which a serving task's
 	// latency may be expected to rise by a placement; pacing begins above it.
-	bearableRatio = 0.8
+	bearableRatio = 0.6
 	// unknownRatio is taken for a serving task without a reading.
 	unknownRatio = 0.4
 	// mostRoom is the headroom of speed beyond which more makes no difference:
--- a/core/gate/pace.go
+++ b/core/gate/pace.go
@@ -13,7 +13,7 @@
 	// paceGoal is the share of its target that a serving task's latency may
 	// reach before tasks that fill are held back: a serving load grows by up to
 	// a sixth between two readings.
-	paceGoal = 0.9
+	paceGoal = 0.8
 	// fullPace is the pace of a task that is not held back.
 	fullPace = 100
 	// paceStep is the grain of paces in percent.
