Let the entry with the most processor time lead

Change: a process leaves a free lease to one with twice its share for 0.8 s, and a leader resigns for one that has been connected for 3 s, once a minute at the most. TestHostedStrongerLeads fails without the rule.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -81,6 +81,8 @@
 	leading *leader
 	// led is the leader's session, where another process leads.
 	led     peer.LeaderSession
+	// yielded is when this process last resigned for a stronger one.
+	yielded time.Duration
 	queries map[uint64]chan *peerpb.QueryAnswer
 	relays  map[uint64]chan *peerpb.StoreAnswer
 	number  uint64
@@ -100,6 +102,8 @@
 			DataCentre: s.Node.DataCentre,
 			Role:       peer.RoleEntry,
 			Boot:       uuid.NewString()[:8],
+
+			ProcessorShare: s.Node.ProcessorShare,
 		},
 		out:           map[string]bool{},
 		queries:       map[uint64]chan *peerpb.QueryAnswer{},
--- a/coordinator/election.go
+++ b/coordinator/election.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"trefoildeck/core/lease"
 	"trefoildeck/internal/jsonlog"
 	"trefoildeck/io/boottime"
+	"trefoildeck/io/peer"
 	"trefoildeck/io/rows"
 
 	"go.uber.org/zap"
@@ -64,12 +66,16 @@
 
 // elect leads whenever the lease can be had, until ctx ends.
 func (c *Coordinator) elect(ctx context.Context) error {
+	var candidate candidacy
+
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		led := c.led.Session != nil
 		c.mu.Unlock()
 
 		if led {
+			candidate = candidacy{}
+
 			select {
 			case <-ctx.Done():
 			case <-c.leaderChanged:
@@ -83,8 +89,10 @@
 			c.log.Warn("LeaseUnreadable", jsonlog.Cause(err))
 		}
 
-		if err == nil && lease.Free(o.record, c.node.Name, c.node.Boot, o.clock) {
+		if err == nil && lease.Free(o.record, c.node.Name, c.node.Boot, o.clock) && c.mayTake(ctx, &candidate) {
 			c.take(ctx, o)
+
+			candidate = candidacy{}
 		}
 
 		// Spread over the entries, so that one of them finds the lease free.
@@ -94,6 +102,43 @@
 	return nil
 }
 
+// candidacy is what a process without a leader knows of a free lease.
+type candidacy struct {
+	// since is when the lease was first found free.
+	since time.Duration
+	// stronger says that a process with more of a core may take it.
+	stronger bool
+}
+
+// mayTake reports whether this process should take a free lease now, or leave it to
+// stronger ones for a while.
+func (c *Coordinator) mayTake(ctx context.Context, k *candidacy) bool {
+	now := boottime.Now()
+
+	if k.since == 0 {
+		k.since = now
+		k.stronger = c.strongerKnown(ctx)
+	}
+
+	return !k.stronger || now-k.since >= lease.Patience
+}
+
+// strongerKnown reads whether a process that should rather lead has a row.
+func (c *Coordinator) strongerKnown(ctx context.Context) bool {
+	p, err := c.store.All(ctx, peer.NodeTable, "")
+	if err != nil {
+		c.log.Warn("NodesUnreadable", jsonlog.Cause(err))
+
+		return false
+	}
+
+	return slices.ContainsFunc(p.Rows, func(r rows.Row) bool {
+		n, err := peer.DecodeNode(r)
+
+		return err == nil && n.Role == peer.RoleEntry && lease.Stronger(n.ProcessorShare, c.node.ProcessorShare)
+	})
+}
+
 // take takes the lease and leads until it is lost.
 func (c *Coordinator) take(ctx context.Context, o office) {
 	term := o.record.Term + 1
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -31,11 +31,14 @@
 	// second, passes would take a twentieth of a core (BenchmarkSchedule). It adds
 	// to the time until a task starts.
 	schedulePause = 5 * time.Millisecond
+	// yieldPeriod is the time between two looks for a stronger process.
+	yieldPeriod = time.Second
 )
 
 var (
 	errLeaseOver = eris.New("the lease has run out")
 	errResigned  = eris.New("resigned")
+	errYielded   = eris.New("resigned for a stronger process")
 )
 
 // leader is a term of this process in office.
@@ -132,6 +135,7 @@
 	group.Go(func() error { return l.watchJobs(ctx, after) })
 	group.Go(func() error { return l.write(ctx) })
 	group.Go(func() error { return l.shareEstimates(ctx) })
+	group.Go(func() error { return l.yield(ctx) })
 
 	return l.schedule(ctx)
 }
@@ -190,6 +194,46 @@
 	return nil
 }
 
+// yield resigns once a stronger process has been connected for a while.
+func (l *leader) yield(ctx context.Context) error {
+	for pause(ctx, yieldPeriod); ctx.Err() == nil; pause(ctx, yieldPeriod) {
+		now := boottime.Now()
+
+		l.c.mu.Lock()
+		recently := l.c.yielded > 0 && now-l.c.yielded < lease.YieldPause
+		l.c.mu.Unlock()
+
+		n := l.stronger(now)
+		if n == "" || recently {
+			continue
+		}
+
+		l.c.mu.Lock()
+		l.c.yielded = now
+		l.c.mu.Unlock()
+		l.c.log.Info("LeaseYielded", zap.Int64("Term", l.term), zap.String("To", n))
+
+		return errors.Join(errYielded, l.resign(ctx))
+	}
+
+	return nil
+}
+
+// stronger returns a stronger process that has been connected for a while, or "".
+func (l *leader) stronger(now time.Duration) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	for _, n := range l.nodes {
+		if n.node.Role == peer.RoleEntry && n.session != nil && now-n.opened > lease.YieldAfter &&
+			lease.Stronger(n.node.ProcessorShare, l.c.node.ProcessorShare) {
+			return n.node.Name
+		}
+	}
+
+	return ""
+}
+
 // resign gives the lease up, after a last write of what changed.
 func (l *leader) resign(ctx context.Context) error {
 	if _, err := l.commitChanges(ctx); err != nil {
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -18,6 +18,8 @@
 	node    peer.Node
 	cancel  context.CancelFunc
 	session *peer.Session
+	// opened is when the session was opened.
+	opened time.Duration
 	log     *zap.Logger
 }
 
@@ -118,6 +120,7 @@
 			defer l.mu.Unlock()
 
 			n.session = s
+			n.opened = boottime.Now()
 			l.c.log.Info("NodeConnected", zap.String("Node", n.node.Name), zap.Int64("Term", l.term))
 		},
 		OnFrame: func(s *peer.Session, f *peerpb.Frame) { l.frame(n, s, f) },
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -25,6 +25,26 @@
 	Guard = 150 * time.Millisecond
 )
 
+const (
+	// strongerBy is how many times as much processor time a process must have to
+	// be preferred as a leader: a change of leaders costs half a second of starts.
+	strongerBy = 2
+	// Patience is how long a process leaves a free lease to stronger ones: they
+	// look twice in this time.
+	Patience = 800 * time.Millisecond
+	// YieldAfter is how long a stronger process must have been connected before a
+	// leader resigns in its favour, and YieldPause the least time between two such
+	// resignations: a stronger process may be unable to reach the store.
+	YieldAfter = 3 * time.Second
+	YieldPause = time.Minute
+)
+
+// Stronger reports whether a process with a share of a core should lead rather
+// than one with another share. Shares of 0 are not known.
+func Stronger(share, than float64) bool {
+	return than > 0 && share >= strongerBy*than
+}
+
 // Record is the row of the lease.
 type Record struct {
 	Holder string
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -74,6 +74,14 @@
 func startHosted(t *testing.T, network, entries, agents int) *hosted {
 	t.Helper()
 
+	return startShared(t, network, make([]float64, entries), agents)
+}
+
+// startShared starts a deployment whose entries have the given shares of a core.
+func startShared(t *testing.T, network int, shares []float64, agents int) *hosted {
+	t.Helper()
+
+	entries := len(shares)
 	h := &hosted{
 		t:      t,
 		judge:  emulator.NewJudge(),
@@ -93,7 +101,8 @@
 		h.base, h.turnedAway[i] = h.serveStore()
 		h.entries = append(h.entries, h.process("entry", ip, fmt.Sprintf("front-%d", i+1), fmt.Sprintf(`CallerAddress = %s:8080
 ReadyAddress = %s:8081
-`, ip, ip), ""))
+ProcessorShare = %g
+`, ip, ip, shares[i]), ""))
 		h.entries[i].callers = ip + ":8080"
 	}
 
@@ -375,8 +384,8 @@
 	}
 }
 
-// leader returns the index of the entry that leads.
-func (h *hosted) leader() int {
+// holder returns the index of the entry that holds the lease, or -1.
+func (h *hosted) holder() int {
 	for _, r := range h.store.Rows("lead") {
 		if r.Key != "lease" {
 			continue
@@ -392,11 +401,49 @@
 		}
 	}
 
-	h.t.Fatal("nobody leads")
-
 	return -1
 }
 
+// leader returns the index of the entry that leads.
+func (h *hosted) leader() int {
+	i := h.holder()
+	assert.Assert(h.t, i >= 0, "nobody leads")
+
+	return i
+}
+
+// TestHostedStrongerLeads checks that an entry with more of a core takes the lead
+// from one with less, also after it was killed, and that jobs go on.
+func TestHostedStrongerLeads(t *testing.T) {
+	t.Parallel()
+
+	h := startShared(t, 31, []float64{0.1, 0.8, 0.1}, 2)
+	before := h.submit(chain()...)
+
+	h.awaitLeader(1)
+	h.await("succeeded", before)
+
+	h.kill(h.entries[1])
+	between := h.submit(chain()...)
+	h.await("succeeded", between)
+	h.start(h.entries[1])
+
+	after := h.submit(chain()...)
+	h.await("succeeded", after)
+	h.verdict()
+}
+
+// awaitLeader waits until an entry leads.
+func (h *hosted) awaitLeader(entry int) {
+	h.t.Helper()
+
+	limit := time.Now().Add(finishTime)
+	for h.holder() != entry {
+		assert.Assert(h.t, time.Now().Before(limit), "front-%d leads", h.holder()+1)
+		time.Sleep(pollTime)
+	}
+}
+
 // TestHostedCalm checks on deployments like the users', in small, that jobs run to
 // their end, and what callers are told.
 func TestHostedCalm(t *testing.T) {
--- a/io/declaration/parse.go
+++ b/io/declaration/parse.go
@@ -1,6 +1,7 @@
 package declaration
 
 import (
+	"math"
 	"net/netip"
 	"reflect"
 	"strconv"
@@ -33,6 +34,8 @@
 		f.SetString(text)
 	case reflect.Bool:
 		return parseBool(text, f)
+	case reflect.Float64:
+		return parseNumber(text, f)
 	case reflect.Int64:
 		return parseInteger(text, f)
 	case reflect.Slice:
@@ -118,6 +121,17 @@
 	return ""
 }
 
+func parseNumber(text string, f reflect.Value) string {
+	n, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) {
+		return "a number such as 0.25"
+	}
+
+	f.SetFloat(n)
+
+	return ""
+}
+
 func splitList(text string) []string {
 	var list []string
 
--- a/io/peer/roles.go
+++ b/io/peer/roles.go
@@ -19,6 +19,8 @@
 	Role       string
 	// Boot differs with each start of the process.
 	Boot string
+	// ProcessorShare is the part of a core that the process has; 0 if not known.
+	ProcessorShare float64 `json:",omitempty"`
 }
 
 // Row returns the node's row.
--- a/settings/node.go
+++ b/settings/node.go
@@ -36,6 +36,8 @@
 	PeerPort int64
 	// MemoryMB bounds the process.
 	MemoryMB int64
+	// ProcessorShare is the part of a core that the process has; 0 if not known.
+	ProcessorShare float64
 }
 
 // StoreSection is the section [Store].
@@ -108,6 +110,10 @@
 	c.number("PeerPort", n.Node.PeerPort, 1, maxPort)
 	c.number("MemoryMB", n.Node.MemoryMB, 1, maxSize)
 
+	if n.Node.ProcessorShare < 0 {
+		p.Add("ProcessorShare", "a negative number", "a part of a core such as 0.25")
+	}
+
 	if !n.Node.IP.IsValid() {
 		p.Add("IP", "nothing", "an IP address")
 	}
