--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -48,6 +48,9 @@
 	confirmedAt time.Duration
 	// progressed is when the worker listed another percentage than before.
 	progressed time.Duration
+	// over is since when a serving task's latency is over its target, 0 if it is
+	// not, and distrusted until when its pairs are not taken for harmless.
+	over, distrusted time.Duration
 	// gone says that an earlier life of the worker ran it.
 	gone bool
 	// Percent is the pace that the worker was told, 100 if none.
@@ -445,6 +448,7 @@
 
 	e.Run = r
 	e.gone = false
+	e.watch(now)
 }
 
 // vanished returns how a run that a listing does not show has ended, or "" where
--- a/core/gate/pace.go
+++ b/core/gate/pace.go
@@ -57,16 +57,50 @@
 	return e.Known && e.Order.Target > 0 && e.Run.Percent == fullPace && e.Run.Figure > 0
 }
 
+const (
+	// distrustAfter is how long a serving task may be over its target before what
+	// was learnt of its pairs is doubted: the users bear 4 s, and two readings pass
+	// before the next pace shows.
+	distrustAfter = 1500 * time.Millisecond
+	// distrustTime is how long the doubt lasts after that: several readings, from
+	// which the pairs are learnt anew.
+	distrustTime = 5 * time.Second
+)
+
+// watch takes in a reading of a serving task at a local time.
+func (e *Entry) watch(now time.Duration) {
+	switch {
+	case !e.serving() || e.Run.Figure <= e.Order.Target.Milliseconds():
+		e.over = 0
+	case e.over == 0:
+		e.over = now
+	case now-e.over >= distrustAfter:
+		e.distrusted = now + distrustTime
+	}
+}
+
 // headroom is by how much the speed of a serving task may fall.
 type headroom struct {
 	image string
 	left  float64
+	// distrusted says that any image is taken to disturb it.
+	distrusted bool
+}
+
+// factor is what to expect of an image beside it.
+func (h headroom) factor(l *interference.Learner, image string) float64 {
+	f := l.Factor(image, h.image)
+	if h.distrusted {
+		return max(f, interference.UsualFactor)
+	}
+
+	return f
 }
 
 // Pace decides the pace of the tasks that fill, and books it: as many of them
 // as the serving tasks beside them bear, those that disturb the least first.
 func (g *Gate) Pace(s interference.Sample, l *interference.Learner) []PaceOrder {
-	rooms := rooms(s, l)
+	rooms := g.rooms(s, l)
 	capacity := float64(max(1, g.Worker.Capacity.MilliCores))
 
 	var fills []*Entry
@@ -80,7 +114,7 @@
 	harm := func(e *Entry) float64 {
 		worst := 0.0
 		for _, r := range rooms {
-			worst = max(worst, l.Factor(e.Order.Image, r.image))
+			worst = max(worst, r.factor(l, e.Order.Image))
 		}
 
 		return worst
@@ -97,7 +131,7 @@
 		pace := bearable(rooms, l, e.Order.Image, share)
 
 		for i := range rooms {
-			rooms[i].left -= l.Factor(e.Order.Image, rooms[i].image) * share * float64(pace) / fullPace
+			rooms[i].left -= rooms[i].factor(l, e.Order.Image) * share * float64(pace) / fullPace
 		}
 
 		if pace != e.Percent {
@@ -114,21 +148,24 @@
 }
 
 // rooms returns what each serving task bears beyond its own load.
-func rooms(s interference.Sample, l *interference.Learner) []headroom {
+func (g *Gate) rooms(s interference.Sample, l *interference.Learner) []headroom {
 	var list []headroom
 
-	for _, r := range s.Serving {
-		left := r.Speed() - 1/paceGoal
+	for t, r := range s.Serving {
+		h := headroom{
+			image:      r.Image,
+			left:       r.Speed() - 1/paceGoal,
+			distrusted: g.Runs[t].distrusted > s.At,
+		}
 
 		// What the tasks that fill add now is theirs to use.
 		for f, share := range s.Filling {
-			left += l.Factor(f, r.Image) * share
+			if !h.distrusted {
+				h.left += l.Factor(f, r.Image) * share
+			}
 		}
 
-		list = append(list, headroom{
-			image: r.Image,
-			left:  left,
-		})
+		list = append(list, h)
 	}
 
 	return list
@@ -139,7 +176,7 @@
 	pace := fullPace
 
 	for _, r := range rooms {
-		rise := l.Factor(image, r.image) * share
+		rise := r.factor(l, image) * share
 		if rise <= 0 {
 			continue
 		}
