--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -89,6 +89,8 @@
 		}
 
 		old.cancel()
+		// What it runs is not known before its next report.
+		l.fleet.Disconnected(n.Name)
 	}
 
 	ctx, cancel := context.WithCancel(ctx)
