Forget no ends by the numbers of a worker's earlier life

After a call without an answer the worker may live anew under its id; the next listing still told it to forget ends up to the number of the life before, and an end of the new life was forgotten that nobody had seen. TestSeenAfterSilence failed before by not compiling; with Seen returning what is recorded it fails.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -518,6 +518,17 @@
 	return now-g.read > left+left/DriftPart+100*time.Millisecond
 }
 
+// Seen is up to which end the worker may be told to forget. After a call without an
+// answer it may live anew under its id, and its ends are numbered from 1 again: it
+// may forget nothing before it has said which life it is.
+func (g *Gate) Seen() int64 {
+	if !g.Answering {
+		return 0
+	}
+
+	return g.Recorded
+}
+
 // MarkRecorded says that ends up to a number of an incarnation are recorded.
 func (g *Gate) MarkRecorded(i Incarnation, number int64) {
 	if i != g.Worker.Incarnation || number <= g.Recorded {
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -308,3 +308,20 @@
 		})
 	}
 }
+
+// TestSeenAfterSilence checks that a worker that may live anew under its id is not
+// told to forget ends by the numbers of its earlier life.
+func TestSeenAfterSilence(t *testing.T) {
+	g := running(t)
+	g.MarkRecorded(g.Worker.Incarnation, 40)
+	assert.Equal(t, g.Seen(), int64(40))
+
+	g.Silent(time.Second)
+	assert.Equal(t, g.Seen(), int64(0))
+
+	g.list(2*time.Second, []Run{{
+		Task:    taskA,
+		Attempt: 1,
+	}}, nil)
+	assert.Equal(t, g.Seen(), int64(40))
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -55,7 +55,7 @@
 func (s *Sidecar) listOnce(ctx context.Context) {
 	s.mu.Lock()
 	sent := boottime.Now()
-	id, token, seen := s.gate.Worker.ID, s.gate.Token, s.gate.Recorded
+	id, token, seen := s.gate.Worker.ID, s.gate.Token, s.gate.Seen()
 	deadline := s.gate.Extend(sent)
 	wait := s.wait()
 	s.mu.Unlock()
