Soak trefoildeck-node with random faults

Real processes over the emulated platform: kills, pauses, SIGTERM, restarts, cut and silent links to the store, refusals, lost and late writes, a lost history, orders that go unanswered, workers born again, configurations. Judged: capacity, doubles, order of steps, refusals that run, ends of accepted jobs, the last configuration everywhere.

--- a/Makefile
+++ b/Makefile
@@ -64,3 +64,8 @@
 .PHONY: capacity
 capacity:
 	CAPACITY=1 go test -count=1 -v -timeout 10m -run TestCapacity ./integration
+
+# Random faults on trefoildeck-node over the emulated platform, a run for each seed.
+.PHONY: hosted-soak
+hosted-soak:
+	FIRST=$(FIRST) SEEDS=$(SEEDS) go test -count=1 -v -parallel 5 -timeout 1h -run TestHostedSoak ./integration
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -49,6 +49,10 @@
 	random  *rand.Rand
 	// turnedAway says of each entry whether the store turns it away.
 	turnedAway []*atomic.Bool
+	// proxied says that the ways to the store are links, one for each entry and
+	// one for all agents.
+	proxied bool
+	links   []*link
 
 	mu    sync.Mutex
 	specs map[string]job.Spec
@@ -59,6 +63,7 @@
 	settings string
 	callers  string
 	command  *exec.Cmd
+	began    time.Time
 	log      *bytes.Buffer
 }
 
@@ -77,28 +82,53 @@
 	return startShared(t, network, make([]float64, entries), agents)
 }
 
+// startProxied starts a deployment whose processes reach the store through links
+// that faults can be injected into.
+func startProxied(t *testing.T, network, entries, agents int) *hosted {
+	t.Helper()
+
+	h := newHosted(t, network)
+	h.proxied = true
+	h.launch(network, make([]float64, entries), agents)
+
+	return h
+}
+
 // startShared starts a deployment whose entries have the given shares of a core.
 func startShared(t *testing.T, network int, shares []float64, agents int) *hosted {
 	t.Helper()
 
-	entries := len(shares)
-	h := &hosted{
+	h := newHosted(t, network)
+	h.launch(network, shares, agents)
+
+	return h
+}
+
+func newHosted(t *testing.T, network int) *hosted {
+	t.Helper()
+
+	return &hosted{
 		t:      t,
 		judge:  emulator.NewJudge(),
 		store:  emulator.NewRowStore(),
 		random: rand.New(rand.NewPCG(1, uint64(network))),
 		specs:  map[string]job.Spec{},
-
-		turnedAway: make([]*atomic.Bool, entries),
 	}
+}
+
+// launch starts the processes.
+func (h *hosted) launch(network int, shares []float64, agents int) {
+	h.t.Helper()
 
 	h.base, _ = h.serveStore()
 
 	h.configure(1)
 
-	for i := range entries {
+	for i := range shares {
 		ip := fmt.Sprintf("127.%d.1.%d", network, i+1)
-		h.base, h.turnedAway[i] = h.serveStore()
+		base, away := h.serveStore()
+		h.base = base
+		h.turnedAway = append(h.turnedAway, away)
 		h.entries = append(h.entries, h.process("entry", ip, fmt.Sprintf("front-%d", i+1), fmt.Sprintf(`CallerAddress = %s:8080
 ReadyAddress = %s:8081
 ProcessorShare = %g
@@ -114,9 +144,7 @@
 		h.start(p)
 	}
 
-	t.Cleanup(h.stop)
-
-	return h
+	h.t.Cleanup(h.stop)
 }
 
 // serveStore serves the store at an address of its own, which can turn away
@@ -136,7 +164,15 @@
 	}))
 	h.t.Cleanup(server.Close)
 
-	return strings.TrimPrefix(server.URL, "http://"), &away
+	address := strings.TrimPrefix(server.URL, "http://")
+	if !h.proxied {
+		return address, &away
+	}
+
+	l := newLink(h.t, fmt.Sprintf("store-%d", len(h.links)), "127.0.0.1:0", address)
+	h.links = append(h.links, l)
+
+	return l.proxy.Listen, &away
 }
 
 func (h *hosted) worker(network, i int) {
@@ -215,6 +251,7 @@
 	path, err := nodeBinary()
 	assert.NilError(h.t, err)
 
+	p.began = time.Now()
 	p.log = &bytes.Buffer{}
 	p.command = exec.Command(path, p.role, "-settings", p.settings)
 	p.command.Stdout = p.log
@@ -245,33 +282,42 @@
 	return s[max(0, len(s)-most):]
 }
 
+// route is a queue of the operator's configuration.
+func route(name, prefix string) map[string]any {
+	return map[string]any{
+		"name": name, "host": hostedHost, "path_prefix": prefix, "kind": "non_idempotent", "timeout_ms": 3000,
+		"target_latency_ms": 250, "priority": 0, "service": hostedService, "max_attempts": 3, "stretch": 1.5,
+	}
+}
+
 // configure writes a version of the operator's configuration.
 func (h *hosted) configure(version int64) {
 	body, err := json.Marshal(map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-1", "host": hostedHost, "path_prefix": hostedPrefix, "kind": "non_idempotent", "timeout_ms": 3000,
-			"target_latency_ms": 250, "priority": 0, "service": hostedService, "max_attempts": 3, "stretch": 1.5,
-		}},
+		"version":  version,
+		"routes":   []map[string]any{route("r-1", hostedPrefix), route("r-2", versionPrefix(version))},
 		"services": []map[string]any{{"name": hostedService, "admission_check": false}},
 		"limits":   map[string]any{"max_body_bytes": 262144},
 	})
 	assert.NilError(h.t, err)
-	_, err = h.store.Commit(h.t.Context(), rows.Transaction{Set: []rows.Row{{
+	h.store.Put(rows.Row{
 		Table: "op",
 		Key:   "config",
 		Value: body,
-	}}})
-	assert.NilError(h.t, err)
+	})
 }
 
-// call sends a caller's request to an entry.
+// call sends a caller's request about a job to an entry.
 func (h *hosted) call(entry int, method, id string, body any) (int, map[string]any) {
+	return h.callAt(entry, method, hostedPrefix+id, body)
+}
+
+// callAt sends a caller's request to an entry.
+func (h *hosted) callAt(entry int, method, path string, body any) (int, map[string]any) {
 	b, err := json.Marshal(body)
 	assert.NilError(h.t, err)
 
 	r, err := http.NewRequestWithContext(context.Background(), method,
-		"http://"+h.entries[entry].callers+hostedPrefix+id, bytes.NewReader(b))
+		"http://"+h.entries[entry].callers+path, bytes.NewReader(b))
 	assert.NilError(h.t, err)
 
 	r.Host = hostedHost
--- a/standin/emulator/rowstore.go
+++ b/standin/emulator/rowstore.go
@@ -71,6 +71,12 @@
 	}
 }
 
+// Put writes a row as the operator does, whom the store never turns away.
+func (s *RowStore) Put(r rows.Row) {
+	// Without expectations there is nothing to refuse.
+	_, _ = s.apply(rows.Transaction{Set: []rows.Row{r}})
+}
+
 // Commit applies a transaction, or refuses it, or loses its answer.
 func (s *RowStore) Commit(_ context.Context, t rows.Transaction) (rows.Stamp, error) {
 	if s.Refuse() {
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -152,7 +152,7 @@
 	}
 
 	if lost, late := w.Lose(r.URL.Path); lost {
-		time.AfterFunc(late, func() { w.carryOut(r.URL.Path, o) })
+		w.postpone(r.URL.Path, o, late)
 		panic(http.ErrAbortHandler)
 	}
 
@@ -161,7 +161,9 @@
 		panic(http.ErrAbortHandler)
 	}
 
+	w.mu.Lock()
 	status, body := w.carryOut(r.URL.Path, o)
+	w.mu.Unlock()
 
 	a.Header().Set("Content-Type", "application/json")
 	a.WriteHeader(status)
@@ -169,6 +171,24 @@
 	_ = json.NewEncoder(a).Encode(body)
 }
 
+// postpone carries an order out later, in the life that received it: a worker that
+// starts again holds nothing of before.
+func (w *Worker) postpone(path string, o wireOrder, late time.Duration) {
+	w.mu.Lock()
+	life := w.born
+	w.mu.Unlock()
+
+	time.AfterFunc(late, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+
+		if w.born.Equal(life) {
+			// Nobody waits for the answer.
+			_, _ = w.carryOut(path, o)
+		}
+	})
+}
+
 // await waits for an end after a number. It returns false if this life of the
 // worker ends first.
 func (w *Worker) await(ctx context.Context, wait time.Duration, seen int64) bool {
@@ -198,11 +218,8 @@
 	}
 }
 
-// carryOut does what an order says.
+// carryOut does what an order says. The caller holds the lock.
 func (w *Worker) carryOut(path string, o wireOrder) (int, map[string]any) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
 	body := map[string]any{
 		"clock_ms": w.clock().Milliseconds(),
 		"born":     w.born.UnixMilli(),
