--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -28,7 +28,7 @@
 	rowsEnd = "0"
 	// jobParts spreads jobs over parts of the store, which apply one transaction
 	// after the other: 200 a second each, when slow two.
-	jobParts = 4
+	jobParts = 16
 
 	// refusalTime bounds the tries to reach the store before a request is
 	// refused: a refusal counts as late from a quarter of the objective on.
