--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -80,7 +80,7 @@
 	// leading is set while this process leads.
 	leading *leader
 	// led is the leader's session, where another process leads.
-	led     peer.LeaderSession
+	led peer.LeaderSession
 	// yielded is when this process last resigned for a stronger one.
 	yielded time.Duration
 	queries map[uint64]chan *peerpb.QueryAnswer
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -20,7 +20,7 @@
 	session *peer.Session
 	// opened is when the session was opened.
 	opened time.Duration
-	log     *zap.Logger
+	log    *zap.Logger
 }
 
 func (n *nodeLink) send(f *peerpb.Frame) {
