--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	// commitPause is kept after a transaction that failed.
+	// commitPause is kept after a transaction that failed or is in doubt.
 	commitPause = 100 * time.Millisecond
 	// schedulePause gathers reports into one pass over the jobs: at 400 reports a
 	// second, passes would take a twentieth of a core (BenchmarkSchedule). It adds
@@ -142,7 +142,9 @@
 
 // renew extends the lease until it can't.
 func (l *leader) renew(ctx context.Context) error {
-	for pause(ctx, lease.Renewal); ctx.Err() == nil; pause(ctx, lease.Renewal) {
+	wait := lease.Renewal
+
+	for pause(ctx, wait); ctx.Err() == nil; pause(ctx, wait) {
 		l.officeMu.Lock()
 		o := l.office
 		l.officeMu.Unlock()
@@ -158,6 +160,8 @@
 			l.office = n
 			l.officeMu.Unlock()
 
+			wait = lease.Renewal
+
 			continue
 		case errors.Is(err, rows.ErrConflict):
 			if err := l.reread(ctx); err != nil {
@@ -170,6 +174,8 @@
 		if !l.inOffice() {
 			return errLeaseOver
 		}
+
+		wait = commitPause
 	}
 
 	return nil
