--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -89,7 +89,10 @@
 					for n, o := range orders {
 						for _, s := range o.Starts {
 							if s.Target == 0 {
-								running = append(running, fleetRun{n, s})
+								running = append(running, fleetRun{
+									node:  n,
+									order: s,
+								})
 							}
 						}
 					}
@@ -118,6 +121,7 @@
 	}
 }
 
+// fleetRun is an order that a node was given.
 type fleetRun struct {
 	node  string
 	order gate.Order
--- a/core/fleet/full_test.go
+++ b/core/fleet/full_test.go
@@ -61,7 +61,10 @@
 
 			for n, o := range f.Schedule(now, time.Time{}) {
 				for _, s := range o.Starts {
-					running = append(running, fleetRun{n, s})
+					running = append(running, fleetRun{
+						node:  n,
+						order: s,
+					})
 				}
 			}
 
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -33,9 +33,10 @@
 	// look twice in this time.
 	Patience = 800 * time.Millisecond
 	// YieldAfter is how long a stronger process must have been connected before a
-	// leader resigns in its favour, and YieldPause the least time between two such
-	// resignations: a stronger process may be unable to reach the store.
+	// leader resigns in its favour: the time after which the users count it as calm.
 	YieldAfter = 3 * time.Second
+	// YieldPause is the least time between two such resignations of a process: a
+	// stronger one may be unable to reach the store.
 	YieldPause = time.Minute
 )
 
