Tell a worker to forget each end once, and not while it waits

Each listing told it to forget ends up to the number recorded in its earlier life; one that waits for an end for up to a second reached the new life, and the end of a new run was forgotten unseen. Change: a number is told once, in a listing that does not wait, after an answered one. TestSeen; it fails when each listing tells the number, as it did. The emulator's listing waits for an end that is still listed, as the users' worker does.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -79,8 +79,10 @@
 	Token int64
 	// Unrecorded has the listed ends that are not recorded yet, by number.
 	Unrecorded []End
-	// Recorded is the number up to which ends are recorded.
-	Recorded int64
+	// Recorded is the number up to which ends are recorded, and forgotten up to which
+	// the worker has forgotten them.
+	Recorded  int64
+	forgotten int64
 
 	// left says that the worker announced its end.
 	left     bool
@@ -148,7 +150,7 @@
 	g.Worker = a
 	g.Known = true
 	g.Unrecorded = nil
-	g.Recorded, g.listed = 0, 0
+	g.Recorded, g.listed, g.forgotten = 0, 0, 0
 	g.Settled, g.Answering, g.left = false, false, false
 	// An order that reached this life gave it the longest lease at the most.
 	g.deadline, g.clock, g.read = MaxExtension, 0, now
@@ -518,17 +520,24 @@
 	return now-g.read > left+left/DriftPart+100*time.Millisecond
 }
 
-// Seen is up to which end the worker may be told to forget. After a call without an
-// answer it may live anew under its id, and its ends are numbered from 1 again: it
-// may forget nothing before it has said which life it is.
+// Seen is up to which end the worker is to be told to forget, or 0. Under its id it
+// may live anew, with ends numbered from 1: it is told so only once for each number,
+// and only after a call that it answered.
 func (g *Gate) Seen() int64 {
-	if !g.Answering {
+	if !g.Answering || g.Recorded <= g.forgotten {
 		return 0
 	}
 
 	return g.Recorded
 }
 
+// Forgot says that a life of the worker was told to forget ends up to a number.
+func (g *Gate) Forgot(i Incarnation, number int64) {
+	if i == g.Worker.Incarnation {
+		g.forgotten = max(g.forgotten, number)
+	}
+}
+
 // MarkRecorded says that ends up to a number of an incarnation are recorded.
 func (g *Gate) MarkRecorded(i Incarnation, number int64) {
 	if i != g.Worker.Incarnation || number <= g.Recorded {
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -309,19 +309,28 @@
 	}
 }
 
-// TestSeenAfterSilence checks that a worker that may live anew under its id is not
-// told to forget ends by the numbers of its earlier life.
-func TestSeenAfterSilence(t *testing.T) {
+// TestSeen checks that a worker that may live anew under its id is not told to forget
+// ends by the numbers of its earlier life: once for each number, and not after a call
+// without an answer.
+func TestSeen(t *testing.T) {
 	g := running(t)
+	run := []Run{{
+		Task:    taskA,
+		Attempt: 1,
+	}}
+
 	g.MarkRecorded(g.Worker.Incarnation, 40)
 	assert.Equal(t, g.Seen(), int64(40))
 
 	g.Silent(time.Second)
 	assert.Equal(t, g.Seen(), int64(0))
 
-	g.list(2*time.Second, []Run{{
-		Task:    taskA,
-		Attempt: 1,
-	}}, nil)
+	g.list(2*time.Second, run, nil)
 	assert.Equal(t, g.Seen(), int64(40))
+
+	g.Forgot(Incarnation{ID: g.Worker.ID}, 40)
+	assert.Equal(t, g.Seen(), int64(40), "another life answered")
+
+	g.Forgot(g.Worker.Incarnation, 40)
+	assert.Equal(t, g.Seen(), int64(0))
 }
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -87,6 +87,7 @@
 
 	s.refusals = 0
 	events := s.gate.Listed(sent, now, token, l)
+	s.gate.Forgot(l.Incarnation, seen)
 	sample := s.gate.Sample(now)
 	s.learner.Observe(sample)
 	paces := s.gate.Pace(sample, s.learner)
@@ -114,9 +115,10 @@
 	}
 }
 
-// wait is how long the worker may wait for an end.
+// wait is how long the worker may wait for an end. It may not while it is told to
+// forget ends: if it starts again meanwhile, its new ends have the same numbers.
 func (s *Sidecar) wait() time.Duration {
-	if s.gate.Token == 0 || !s.gate.Settled || len(s.gate.Unrecorded) > 0 {
+	if s.gate.Token == 0 || !s.gate.Settled || len(s.gate.Unrecorded) > 0 || s.gate.Seen() > 0 {
 		return 0
 	}
 
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -201,7 +202,8 @@
 
 	for {
 		w.mu.Lock()
-		fresh, changed, alive := w.number > seen, w.changed, w.born.Equal(life)
+		fresh := slices.ContainsFunc(w.ends, func(e wireEnd) bool { return e.number > seen })
+		changed, alive := w.changed, w.born.Equal(life)
 		w.mu.Unlock()
 
 		if fresh || !alive {
