Wait for an entry's configuration before a repeat in TestHostedCalm

Its log: front-1 had accepted all six jobs 15 ms after its start; front-2 got the repeat at 41.607 s and its configuration at 41.608 s. The users' page lets an entry without a configuration answer 503. The check of the repeat is as before; it comes once the entry says that it is ready. Conclusion: the test was early; no product code changes.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -508,6 +508,26 @@
 	}
 }
 
+// awaitReady waits until an entry says that it is ready.
+func (h *hosted) awaitReady(entry int) {
+	h.t.Helper()
+
+	address := strings.TrimSuffix(h.entries[entry].callers, ":8080") + ":8081"
+
+	for limit := time.Now().Add(finishTime); ; time.Sleep(pollTime) {
+		a, err := http.Get("http://" + address + "/")
+		if err == nil {
+			_ = a.Body.Close()
+
+			if a.StatusCode == http.StatusOK {
+				return
+			}
+		}
+
+		assert.Assert(h.t, time.Now().Before(limit), "entry %d is not ready", entry)
+	}
+}
+
 func calm(t *testing.T, h *hosted) {
 	t.Helper()
 
@@ -516,7 +536,10 @@
 		ids = append(ids, h.submit(chain()...))
 	}
 
-	// A repeat at another entry is the same job.
+	// A repeat at another entry is the same job. An entry that has just started has no
+	// configuration yet and may refuse.
+	h.awaitReady(1)
+
 	status, _ := h.call(1, http.MethodPost, ids[0], submission(h.specs[ids[0]]))
 	assert.Equal(t, status, http.StatusOK)
 
