Tell restarted agents the sizes of the runs that they find

Cause: an agent that restarted under the same leader listed the runs that it found, but the leader sends orders (and so sizes) only for runs that it takes over from a previous leader. With long-running tasks on its worker the agent refused every start with SizesUnknown from then on, and the leader, which saw an idle worker, sent it hundreds of starts a second.

Change: a report says of each run whether its order is known, and the leader answers with the order of each that is not. An agent reports its worker ready only once all sizes are known. A worker that refuses starts gets none for 50 ms, doubled up to 1 s, until it starts one that was ordered after the last refusal; refusals carry their reason. Log lines of one cause are counted after the first within a second. A found filling task has an unknown pace, which is ordered again, as is one whose order failed; a restarted agent gets the pooled estimates at once and doesn't replace the evidence of the process before it.

--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -128,6 +128,10 @@
 			n.session = s
 			n.opened = boottime.Now()
 			l.c.log.Info("NodeConnected", zap.String("Node", n.node.Name), zap.Int64("Term", l.term))
+
+			if estimates := l.fleet.Interference.All(); n.node.Role == peer.RoleAgent && len(estimates) > 0 {
+				n.send(&peerpb.Frame{Body: &peerpb.Frame_Estimates{Estimates: peer.EncodeEstimates(estimates)}})
+			}
 		},
 		OnFrame: func(s *peer.Session, f *peerpb.Frame) { l.handleFrame(n, s, f) },
 		OnClose: func(s *peer.Session) {
@@ -184,7 +188,9 @@
 		l.fleet.Report(boottime.Now(), n.node.Name, r)
 		notify(l.wake)
 	case *peerpb.Frame_Estimates:
-		l.fleet.Interference.Put(n.node.Name, peer.DecodeEstimates(b.Estimates))
+		// A restarted sidecar starts without evidence and must not replace that of the
+		// process before it.
+		l.fleet.Interference.Put(n.node.Name+"/"+n.node.Boot, peer.DecodeEstimates(b.Estimates))
 	case *peerpb.Frame_StoreAnswer:
 		// deliverStoreAnswer locks c.mu.
 		go l.c.deliverStoreAnswer(b.StoreAnswer)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -52,8 +52,8 @@
 	// Placements has the data behind each placement, parallel to Starts.
 	Placements []Placement
 	Stops      []Stop
-	// Adopted has the orders of runs that a previous leader started. The node needs them
-	// to know the sizes of the runs.
+	// Adopted has the orders of runs that the node found on its worker. The node needs
+	// them to know the sizes of the runs.
 	Adopted []gate.StartOrder
 }
 
@@ -228,6 +228,7 @@
 		}
 
 		earlier(w.quarantinedUntil)
+		earlier(w.refusals.until)
 	}
 
 	for _, j := range f.open {
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -217,6 +217,8 @@
 		return
 	}
 
+	f.updateRefusals(now, node, e)
+
 	if t.phase == active {
 		f.release(j, s, t, e.Task)
 	}
--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -25,6 +25,7 @@
 // updatePace records the pace of a run in percent.
 func (r *run) updatePace(now time.Duration, percent int) {
 	switch {
+	case percent == gate.UnknownPace:
 	case !r.step.Fills || percent > slowPacePercent:
 		r.slowSince = 0
 	case r.slowSince == 0:
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -110,7 +110,7 @@
 // its state, service and labels, the step's anti-affinity, and free resources.
 func (f *Fleet) feasible(now time.Duration, j *jobInfo, s *stepInfo, w *workerInfo) bool {
 	switch {
-	case !w.connected || !w.ready || f.Out[w.dataCentre] || w.quarantined(now, s.spec):
+	case !w.connected || !w.ready || f.Out[w.dataCentre] || w.quarantined(now, s.spec) || now < w.refusals.until:
 		return false
 	case w.service != j.record.Service:
 		return false
--- /dev/null
+++ b/core/fleet/restart_test.go
@@ -0,0 +1,140 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"trefoildeck/core/gate"
+	"trefoildeck/core/job"
+
+	"gotest.tools/v3/assert"
+)
+
+// runningFleet returns a fleet that has started the only task of jobA on node n1.
+func runningFleet(t *testing.T) *Fleet {
+	t.Helper()
+
+	f := New(1)
+	f.Report(0, "n1", described("n1"))
+	f.Add(0, 0, record(jobA, step(1)))
+	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))["n1"]), 1)
+
+	return f
+}
+
+// TestRestartedNode checks that a sidecar that restarted under the same leader learns the
+// orders, and so the sizes, of the runs that it finds on its worker. Without them it
+// refuses all starts.
+func TestRestartedNode(t *testing.T) {
+	tests := map[string]struct {
+		orderKnown bool
+		adopted    int
+	}{
+		"Restarted":   {false, 1},
+		"Reconnected": {true, 0},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := runningFleet(t)
+			f.Disconnected("n1")
+
+			r := described("n1")
+			r.Runs = []gate.Run{{
+				Task:       job.TaskID{Job: jobA},
+				Attempt:    1,
+				OrderKnown: c.orderKnown,
+			}}
+			f.Report(time.Second, "n1", r)
+
+			o := f.Schedule(time.Second, time.Time{})["n1"]
+			if c.adopted == 0 {
+				assert.Assert(t, o == nil)
+
+				return
+			}
+
+			assert.Equal(t, len(o.Adopted), c.adopted)
+			assert.Equal(t, o.Adopted[0].Attempt, 1)
+			assert.Equal(t, o.Adopted[0].Size, step(1).Size)
+			assert.Equal(t, len(o.Starts), 0)
+		})
+	}
+}
+
+// refuse reports the refusal of a start by a node's worker.
+func refuse(f *Fleet, now time.Duration, node string, s gate.StartOrder, reason gate.Refusal) {
+	f.Report(now, node, Report{Ends: []gate.EndEvent{{
+		End: gate.End{
+			Task:    s.Task,
+			Attempt: s.Attempt,
+			Reason:  gate.NotRun,
+			Refusal: reason,
+		},
+		Incarnation: incarnation(node),
+	}}})
+}
+
+// TestRefusingWorker checks that starts that a worker refuses are repeated ever more
+// slowly there, and not hundreds of times a second.
+func TestRefusingWorker(t *testing.T) {
+	const (
+		tick     = 10 * time.Millisecond
+		duration = 5 * time.Second
+		// maxStarts are the starts after 0, 50, 150, 350, 750, 1550, 2550, 3550 and
+		// 4550 ms.
+		maxStarts = 9
+	)
+
+	tests := map[string]struct {
+		reason    gate.Refusal
+		minStarts int
+		maxStarts int
+	}{
+		"NoRoom":    {gate.NoRoom, maxStarts - 1, maxStarts},
+		"Unhealthy": {gate.RejectedByWorker, maxStarts - 1, maxStarts},
+		// The refusal says nothing about other tasks, so that only notRunDelay applies.
+		"TaskPresent": {gate.TaskPresent, 50, 100},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := New(1)
+			f.Report(0, "n1", described("n1"))
+			f.Add(0, 0, record(jobA, step(1)))
+
+			n := 0
+
+			for now := time.Duration(0); now < duration; now += tick {
+				for _, s := range starts(f.Schedule(now, time.Time{}))["n1"] {
+					n++
+					refuse(f, now, "n1", s, c.reason)
+				}
+			}
+
+			assert.Assert(t, n >= c.minStarts && n <= c.maxStarts, "%d starts", n)
+		})
+	}
+}
+
+// TestRefusalElsewhere checks that a task that one worker refuses starts on another one
+// at once, and that the refusing worker gets tasks again after it ran one.
+func TestRefusalElsewhere(t *testing.T) {
+	f := New(1)
+	f.Report(0, "n1", described("n1"))
+	f.Add(0, 0, record(jobA, step(1)))
+	s := starts(f.Schedule(0, time.Time{}))["n1"][0]
+	f.Report(0, "n2", described("n2"))
+	refuse(f, 0, "n1", s, gate.NoRoom)
+
+	// The task itself waits for notRunDelay.
+	assert.Equal(t, len(starts(f.Schedule(notRunDelay, time.Time{}))["n2"]), 1)
+
+	f.Add(notRunDelay, 0, record(jobB, step(2)))
+	assert.Equal(t, len(starts(f.Schedule(minRefusalPause, time.Time{}))["n1"]), 2)
+	assert.Equal(t, f.workers["n1"].refusals.pause, minRefusalPause)
+
+	e := end("n1", 1, jobB, 1, gate.Done)
+	f.Report(time.Second, "n1", Report{Ends: []gate.EndEvent{e}})
+	assert.Equal(t, f.workers["n1"].refusals.pause, time.Duration(0))
+}
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -36,6 +36,7 @@
 	servingMilliCores int64
 
 	health           health
+	refusals         refusals
 	quarantinedUntil time.Duration
 	movedAt          time.Duration
 
@@ -143,6 +144,7 @@
 		if w.incarnation != r.Incarnation {
 			w.health = health{}
 			w.quarantinedUntil = 0
+			w.refusals = refusals{}
 		}
 
 		w.dataCentre = r.DataCentre
@@ -202,10 +204,16 @@
 	}
 
 	if t.phase == waiting {
-		f.adopt(now, j, s, t, w, g)
+		f.assign(now, j, s, t, w, g.Task, g.Attempt)
+	}
+
+	if !g.OrderKnown {
+		o := f.ordersFor(w)
+		o.Adopted = append(o.Adopted, f.startOrder(j, s, t, g.Task))
 	}
 
 	r := w.runs[g.Task]
+	w.confirmStart(r)
 	r.readAt = now
 	r.latencyMillis = g.Measurement
 	r.progressPercent = g.ProgressPercent
@@ -217,14 +225,6 @@
 	}
 }
 
-// adopt takes over a run that this leader didn't start.
-func (f *Fleet) adopt(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo, w *workerInfo, g gate.Run) {
-	f.assign(now, j, s, t, w, g.Task, g.Attempt)
-
-	o := f.ordersFor(w)
-	o.Adopted = append(o.Adopted, f.startOrder(j, s, t, g.Task))
-}
-
 // reconcile records as lost the runs that a full report lists neither as running
 // nor as ended.
 func (f *Fleet) reconcile(now time.Duration, w *workerInfo, r Report) {
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -57,7 +57,7 @@
 	overTargetSince, distrustedUntil time.Duration
 	// ranBefore reports that an earlier incarnation of the worker ran the attempt.
 	ranBefore bool
-	// PacePercent is the pace that was ordered last, 100 if none was.
+	// PacePercent is the pace that was ordered last, 100 if none was, or UnknownPace.
 	PacePercent int
 }
 
@@ -247,19 +247,39 @@
 	}
 }
 
-// Admit returns why a start order must be refused, or "" if it may be carried out.
-func (g *Gate) Admit(now time.Duration, o StartOrder) string {
+// Ready reports whether starts can be admitted as far as the worker is concerned: it is
+// known and answers, it doesn't drain, and the sizes of all its runs are known.
+func (g *Gate) Ready() bool {
+	return g.Announced && g.Synced && g.Answering && !g.Worker.Draining && g.OrdersUnknown() == 0
+}
+
+// OrdersUnknown returns the number of runs that were found on the worker and whose
+// orders the leader has not sent yet.
+func (g *Gate) OrdersUnknown() int {
+	n := 0
+
+	for _, e := range g.Runs {
+		if !e.OrderKnown {
+			n++
+		}
+	}
+
+	return n
+}
+
+// Admit returns why a start order must be refused, or Admitted.
+func (g *Gate) Admit(now time.Duration, o StartOrder) Refusal {
 	switch {
 	case !g.Announced || !g.Synced:
-		return "WorkerUnknown"
+		return WorkerUnknown
 	case !g.Answering:
-		return "WorkerSilent"
+		return WorkerSilent
 	case g.Worker.Draining:
-		return "WorkerDraining"
+		return WorkerDraining
 	case g.nextDeadline(now) == 0:
-		return "NoLeader"
+		return NoLeader
 	case g.Runs[o.Task] != nil:
-		return "TaskPresent"
+		return TaskPresent
 	}
 
 	used := o.Size
@@ -269,7 +289,7 @@
 
 	for _, e := range g.Runs {
 		if !e.OrderKnown {
-			return "SizesUnknown"
+			return SizesUnknown
 		}
 
 		size := e.Order.Size
@@ -281,10 +301,10 @@
 	}
 
 	if !g.Worker.Capacity.CanFit(used) {
-		return "NoRoom"
+		return NoRoom
 	}
 
-	return ""
+	return Admitted
 }
 
 // Reserve adds the run of an admitted order. It returns the fencing token and the
@@ -302,11 +322,16 @@
 	return g.Token, g.ExtendLease(now)
 }
 
-// Adopt sets the order of a run that was found on the worker, and so its size.
+// Adopt sets the order of a run that was found on the worker, and so its size. A run
+// whose order is known keeps it.
 func (g *Gate) Adopt(o StartOrder) {
-	if e := g.Runs[o.Task]; e != nil && e.Attempt == o.Attempt {
+	if e := g.Runs[o.Task]; e != nil && e.Attempt == o.Attempt && !e.OrderKnown {
 		e.Order = o
 		e.OrderKnown = true
+
+		if !o.Fills {
+			e.PacePercent = fullPercent
+		}
 	}
 }
 
@@ -327,7 +352,10 @@
 
 	delete(g.Runs, t)
 
-	return []EndEvent{g.endEvent(t, e, NotRun)}
+	event := g.endEvent(t, e, NotRun)
+	event.Refusal = RejectedByWorker
+
+	return []EndEvent{event}
 }
 
 // MarkInDoubt records that a start order went unanswered. It raises the fencing
@@ -448,7 +476,7 @@
 
 		e = &RunState{
 			Attempt:     r.Attempt,
-			PacePercent: fullPercent,
+			PacePercent: UnknownPace,
 		}
 		g.Runs[r.Task] = e
 	}
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -34,7 +34,7 @@
 		Attempt: 1,
 		Size:    job.Size{MilliCores: 1000},
 	}
-	assert.Equal(t, g.Admit(0, order), "")
+	assert.Equal(t, g.Admit(0, order), Admitted)
 	g.Reserve(0, order)
 	g.Confirm(0, taskA, 1)
 
@@ -95,7 +95,7 @@
 		prepare func(*Gate)
 		order   StartOrder
 		now     time.Duration
-		refusal string
+		refusal Refusal
 	}{
 		"Full":      {func(*Gate) {}, other, 0, "NoRoom"},
 		"Fills":     {func(*Gate) {}, filling, 0, ""},
@@ -209,7 +209,7 @@
 		Task:    job.TaskID{Job: "000000000000000b"},
 		Attempt: 1,
 	}
-	assert.Equal(t, g.Admit(0, other), "")
+	assert.Equal(t, g.Admit(0, other), Admitted)
 	g.Reserve(0, other)
 
 	events := g.HandleProcessExit()
--- a/core/gate/pace.go
+++ b/core/gate/pace.go
@@ -14,6 +14,9 @@
 	// reach before filling tasks are throttled. It is below 1 because a serving load
 	// grows by up to a sixth between two readings.
 	maxLatencyRatio = 0.8
+	// UnknownPace stands for the pace of a filling task that was found on the worker, or
+	// whose last pace order failed. The next call of Pace orders its pace.
+	UnknownPace = -1
 	// fullPercent is the pace of a run that is not throttled, and the progress of
 	// a task that is complete or serving.
 	fullPercent = 100
@@ -152,6 +155,13 @@
 	return orders
 }
 
+// HandlePaceFailure records that a pace order may have had no effect.
+func (g *Gate) HandlePaceFailure(o PaceOrder) {
+	if e := g.Runs[o.Task]; e != nil && e.Attempt == o.Attempt && e.PacePercent == o.Percent {
+		e.PacePercent = UnknownPace
+	}
+}
+
 // headrooms returns the headroom of each serving task in a sample.
 func (g *Gate) headrooms(s interference.Sample, l *interference.Learner) []headroom {
 	var list []headroom
--- a/core/gate/pace_test.go
+++ b/core/gate/pace_test.go
@@ -36,7 +36,7 @@
 		},
 	} {
 		o.Attempt = 1
-		assert.Equal(t, g.Admit(0, o), "")
+		assert.Equal(t, g.Admit(0, o), Admitted)
 		g.Reserve(0, o)
 		g.Confirm(0, o.Task, 1)
 	}
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -11,7 +11,7 @@
 //
 //	g := gate.New()
 //	g.HandleAnnouncement(now, announcement)
-//	if refusal := g.Admit(now, order); refusal == "" { … }
+//	if g.Admit(now, order) == gate.Admitted { … }
 //	events := g.HandleListing(sent, now, token, listing)
 package gate
 
@@ -55,11 +55,14 @@
 	// target, and the processor use in millicores of any other task.
 	Measurement int64
 	// PacePercent is the speed limit that was ordered for the run, as a percentage
-	// of its full speed. The worker does not list it.
+	// of its full speed, or UnknownPace. The worker does not list it.
 	PacePercent int
 	// Stalled reports that the run makes no progress although its pace allows it.
 	// The worker does not list it; see RunState.Stalled.
 	Stalled bool
+	// OrderKnown reports whether the sidecar has the run's order, and so its size. The
+	// worker does not list it.
+	OrderKnown bool
 }
 
 // EndReason is the way in which a run ended.
@@ -82,6 +85,27 @@
 	NotRun EndReason = "NotRun"
 )
 
+// Refusal is the reason why a start order was not carried out.
+type Refusal string
+
+// Refusals of the gate, and RejectedByWorker for one of the worker itself.
+const (
+	// Admitted means that there is no refusal.
+	Admitted       Refusal = ""
+	WorkerUnknown  Refusal = "WorkerUnknown"
+	WorkerSilent   Refusal = "WorkerSilent"
+	WorkerDraining Refusal = "WorkerDraining"
+	// WorkerReplaced means that the order was for another incarnation.
+	WorkerReplaced Refusal = "WorkerReplaced"
+	NoLeader       Refusal = "NoLeader"
+	NoRoom         Refusal = "NoRoom"
+	// SizesUnknown means that the worker runs tasks of which the gate has no order.
+	SizesUnknown Refusal = "SizesUnknown"
+	// TaskPresent means that the worker runs, or may run, an attempt of the task.
+	TaskPresent      Refusal = "TaskPresent"
+	RejectedByWorker Refusal = "RejectedByWorker"
+)
+
 // End is the end of a run. Number counts the ends of an incarnation from 1; it is
 // 0 for an end that the worker did not list.
 type End struct {
@@ -90,6 +114,8 @@
 	Attempt    int
 	Reason     EndReason
 	Checkpoint string
+	// Refusal is set if Reason is NotRun and the order was refused.
+	Refusal Refusal
 }
 
 // Listing is a worker's answer to a lease extension: its clock, its runs, and the
--- /dev/null
+++ b/integration/platform_restart_test.go
@@ -0,0 +1,93 @@
+package integration_test
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"trefoildeck/core/job"
+	"trefoildeck/standin/emulator"
+
+	"gotest.tools/v3/assert"
+)
+
+// maxRefusedStarts bounds the starts that an agent refuses while it learns what its
+// worker runs: the orders in flight when it restarts.
+const maxRefusedStarts = 20
+
+// TestHostedRollingRestart checks that every worker gets tasks again after each process
+// was restarted in turn while long-running tasks run, and that the agents then refuse
+// no starts. An agent that is not told the sizes of the runs that it finds refuses all
+// of them.
+func TestHostedRollingRestart(t *testing.T) {
+	t.Parallel()
+
+	h := startHosted(t, 33, 2, 3)
+
+	for _, w := range h.workers {
+		w.PlanRun = func(id job.TaskID, _ int) emulator.RunPlan {
+			p := emulator.RunPlan{
+				Duration:  50 * time.Millisecond,
+				EndReason: "done",
+			}
+			if h.spec(id.Job).Steps[id.Step].LongRunning {
+				p.Duration = time.Hour
+			}
+
+			return p
+		}
+	}
+
+	lasting := job.Step{
+		Count:        len(h.workers),
+		Size:         job.Size{MilliCores: 1000},
+		AntiAffinity: 1,
+		LongRunning:  true,
+	}
+	h.awaitState("running", h.submit(lasting))
+	h.awaitStarts(1)
+
+	for _, p := range append(append([]*hostedProcess{}, h.agents...), h.entries...) {
+		assert.NilError(t, p.command.Process.Signal(syscall.SIGTERM))
+		h.awaitState("succeeded", h.submit(dependentSteps()...))
+		assert.NilError(t, p.command.Wait())
+		h.start(p)
+		h.awaitState("succeeded", h.submit(dependentSteps()...))
+	}
+
+	h.awaitStarts(3)
+
+	for i, a := range h.agents {
+		n := strings.Count(a.log.String(), `"StartRefused"`)
+		assert.Assert(t, n <= maxRefusedStarts, "agent %d refused %d starts", i, n)
+	}
+
+	h.checkViolations()
+}
+
+func (h *hosted) spec(id string) job.Spec {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	return h.specs[id]
+}
+
+// awaitStarts submits jobs until each worker has had a number of further starts.
+func (h *hosted) awaitStarts(count int) {
+	h.t.Helper()
+
+	limit := time.Now().Add(finishTimeout)
+	before := map[string]int{}
+
+	for _, w := range h.workers {
+		before[w.ID] = h.checker.StartsOn(w.ID)
+	}
+
+	for _, w := range h.workers {
+		for h.checker.StartsOn(w.ID) < before[w.ID]+count {
+			assert.Assert(h.t, time.Now().Before(limit), "%s: %d starts", w.ID, h.checker.StartsOn(w.ID)-before[w.ID])
+			h.awaitState("succeeded", h.submit(dependentSteps()...))
+		}
+	}
+}
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -380,7 +380,7 @@
 	for _, p := range s.Steps {
 		steps = append(steps, map[string]any{
 			"count": p.Count, "cpu": p.Size.MilliCores, "mem_mb": p.Size.MemoryMB,
-			"estimate_ms": 100, "after": p.After, "anti_affinity": p.AntiAffinity,
+			"estimate_ms": 100, "after": p.After, "anti_affinity": p.AntiAffinity, "long_running": p.LongRunning,
 		})
 	}
 
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -20,7 +20,7 @@
 		Known:       g.Announced,
 		WorkerID:    g.Worker.ID,
 		Born:        g.Worker.Born,
-		Ready:       g.Announced && g.Synced && g.Answering && !g.Worker.Draining,
+		Ready:       g.Ready(),
 		Draining:    g.Worker.Draining,
 		RemainingMS: g.Worker.Remaining.Milliseconds(),
 		Service:     g.Worker.Service,
@@ -38,6 +38,7 @@
 			Confirmed:  r.State.Phase == gate.Confirmed,
 			Pace:       int64(r.State.PacePercent),
 			Stalled:    r.Stalled,
+			OrderKnown: r.State.OrderKnown,
 		})
 	}
 
@@ -50,6 +51,7 @@
 			Checkpoint: e.Checkpoint,
 			WorkerID:   e.Incarnation.ID,
 			Born:       e.Incarnation.Born,
+			Reason:     string(e.Refusal),
 		})
 	}
 
@@ -94,6 +96,7 @@
 			Measurement:     w.GetFigure(),
 			PacePercent:     int(w.GetPace()),
 			Stalled:         w.GetStalled(),
+			OrderKnown:      w.GetOrderKnown(),
 		})
 	}
 
@@ -110,6 +113,7 @@
 				Attempt:    int(e.GetAttempt()),
 				Reason:     gate.EndReason(e.GetHow()),
 				Checkpoint: e.GetCheckpoint(),
+				Refusal:    gate.Refusal(e.GetReason()),
 			},
 			Incarnation: gate.Incarnation{
 				ID:   e.GetWorkerID(),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -68,6 +68,8 @@
 	pingNumber uint64
 	// refusals counts consecutive refused connections to the worker.
 	refusals int
+	// refusedStarts limits the log lines about starts that were refused.
+	refusedStarts jsonlog.Repeats
 	// reported has the runs that were reported to the leader as started, with the
 	// last reported checkpoint.
 	reported map[job.TaskID]string
@@ -312,8 +314,8 @@
 	}
 }
 
-// sendStatus reports runs that started or stalled, new checkpoints, the latencies of
-// serving tasks, and new interference estimates.
+// sendStatus reports runs that started or stalled or whose orders are unknown, new
+// checkpoints, the latencies of serving tasks, and new interference estimates.
 func (s *Sidecar) sendStatus() {
 	var runs []peer.TaskRun
 
@@ -325,7 +327,7 @@
 		serves := e.OrderKnown && e.Order.Target > 0
 		stalled := e.Stalled(now)
 
-		if e.Phase != gate.Confirmed || (known && checkpoint == c && !serves && !stalled) {
+		if e.Phase != gate.Confirmed || (known && checkpoint == c && !serves && !stalled && e.OrderKnown) {
 			continue
 		}
 
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -79,6 +79,7 @@
 
 	firstSync := !s.gate.Synced
 	answeredBefore := s.gate.Answering
+	unknownBefore := s.gate.OrdersUnknown()
 
 	if token == 0 {
 		// Calls with the raised token fence off the orders of earlier sidecars.
@@ -104,6 +105,12 @@
 		s.sendReport(events)
 	}
 
+	if s.gate.OrdersUnknown() > unknownBefore {
+		// An order of an earlier process was carried out late. Until the leader sends it,
+		// nothing can be started.
+		s.sendStatus()
+	}
+
 	s.reportPaces(paces)
 
 	unrecorded := len(s.gate.Unrecorded) > 0
@@ -195,6 +202,13 @@
 func (s *Sidecar) pace(ctx context.Context, id string, token int64, p gate.PaceOrder) {
 	err := s.worker.SetPace(ctx, id, token, p.Task, p.Attempt, p.Percent)
 	s.meter.Count("paces_total")
+
+	if err != nil {
+		s.mu.Lock()
+		s.gate.HandlePaceFailure(p)
+		s.mu.Unlock()
+	}
+
 	s.log.Info("TaskPaced", zap.String("Job", p.Task.Job), zap.Stringer("Task", p.Task), zap.Int("Percent", p.Percent), jsonlog.Error(err))
 }
 
@@ -209,10 +223,17 @@
 
 	current := o.Incarnation == s.gate.Worker.Incarnation
 
+	unready := !s.gate.Ready()
+
 	for _, a := range o.Adopted {
 		s.gate.Adopt(a)
 	}
 
+	if unready && s.gate.Ready() {
+		s.log.Info("SizesLearned", zap.String("Worker", s.gate.Worker.ID), zap.Int("Runs", len(o.Adopted)))
+		s.sendReport(nil)
+	}
+
 	for _, stop := range o.Stops {
 		if current {
 			go s.stop(s.gate.Worker.ID, s.gate.Token, stop.Task, stop.Attempt)
@@ -222,20 +243,21 @@
 	var refused []gate.EndEvent
 
 	for _, start := range o.Starts {
-		reason := "WorkerReplaced"
+		reason := gate.WorkerReplaced
 		if current {
 			reason = s.gate.Admit(boottime.Now(), start)
 		}
 
-		if reason != "" {
-			s.meter.Count("starts_total", "outcome", reason)
-			s.log.Info("StartRefused", zap.String("Job", start.Task.Job), zap.Stringer("Task", start.Task),
-				zap.Int("Attempt", start.Attempt), zap.String("Reason", reason))
+		if reason != gate.Admitted {
+			s.meter.Count("starts_total", "outcome", string(reason))
+			s.refusedStarts.Log(s.log, zap.InfoLevel, "StartRefused", string(reason), zap.String("Job", start.Task.Job),
+				zap.Stringer("Task", start.Task), zap.Int("Attempt", start.Attempt))
 			refused = append(refused, gate.EndEvent{
 				End: gate.End{
 					Task:    start.Task,
 					Attempt: start.Attempt,
 					Reason:  gate.NotRun,
+					Refusal: reason,
 				},
 				Incarnation: o.Incarnation,
 			})
@@ -274,7 +296,8 @@
 		s.gate.MarkInDoubt(o.Task, o.Attempt)
 		notify(s.listNow)
 	default:
-		s.log.Warn("StartRejected", zap.String("Job", o.Task.Job), zap.Stringer("Task", o.Task), zap.Int("Attempt", o.Attempt), jsonlog.Error(err))
+		s.refusedStarts.Log(s.log, zap.WarnLevel, "StartRejected", err.Error(), zap.String("Job", o.Task.Job),
+			zap.Stringer("Task", o.Task), zap.Int("Attempt", o.Attempt))
 		s.sendReport(s.gate.Reject(o.Task, o.Attempt))
 	}
 }
--- a/standin/emulator/checker.go
+++ b/standin/emulator/checker.go
@@ -16,6 +16,8 @@
 	mu         sync.Mutex
 	jobs       map[string]*jobHistory
 	violations []string
+	// starts counts the starts on each worker.
+	starts map[string]int
 }
 
 // jobHistory is the recorded history of a job.
@@ -42,7 +44,10 @@
 
 // NewChecker returns a checker with an empty history.
 func NewChecker() *Checker {
-	return &Checker{jobs: map[string]*jobHistory{}}
+	return &Checker{
+		jobs:   map[string]*jobHistory{},
+		starts: map[string]int{},
+	}
 }
 
 // RecordSubmission records that a client submits a job. It is called before the
@@ -79,6 +84,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
+	c.starts[worker]++
+
 	h := c.jobs[t.Job]
 	if h == nil || t.Step >= len(h.spec.Steps) || text != h.spec.Text {
 		c.addViolation("%s attempt %d on %s: no such task was submitted", t, attempt, worker)
@@ -202,6 +209,14 @@
 	return c.jobs[id].starts
 }
 
+// StartsOn returns the number of starts on a worker.
+func (c *Checker) StartsOn(worker string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.starts[worker]
+}
+
 // Violations returns a line for each violation, in the order of their detection.
 func (c *Checker) Violations() []string {
 	c.mu.Lock()
