Read stale rows again in a fixed order, and survive a rejected first batch

The pressure of a worker was a sum of floats in map order.

The test for it showed another fault: a page whose row doesn't exist yet has no map of workers, so that the rejection of a shard's first batch brought the process down (assignment to a nil map).

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -91,7 +91,8 @@
 
 	if old := b.shard.pages[number]; old != nil {
 		p.Version = old.Version
-		p.Workers = maps.Clone(old.Workers)
+		// A page whose row doesn't exist yet has no map.
+		maps.Copy(p.Workers, old.Workers)
 	}
 
 	b.Pages[number] = p
@@ -222,7 +223,7 @@
 		}
 	}
 
-	for k := range b.Deleted {
+	for _, k := range sortedSegments(b.Deleted) {
 		s.dropSegment(k)
 	}
 
@@ -241,7 +242,7 @@
 	s.stats.Resumed += b.resumed
 }
 
-func sortedSegments(m map[SegmentKey]*Segment) []SegmentKey {
+func sortedSegments[V any](m map[SegmentKey]V) []SegmentKey {
 	return slices.SortedFunc(maps.Keys(m), func(a, b SegmentKey) int {
 		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Number, b.Number))
 	})
@@ -274,22 +275,14 @@
 }
 
 // StaleRows returns the rows of a shard that must be read again and passed to
-// ApplyReloaded before its next batch: page numbers and segment keys.
+// ApplyReloaded before its next batch: page numbers and segment keys, sorted.
 func (s *Scheduler) StaleRows(dataCentre string) (pages []int, segments []SegmentKey) {
 	h, ok := s.shards[dataCentre]
 	if !ok {
 		return nil, nil
 	}
 
-	for n := range h.stale.pages {
-		pages = append(pages, n)
-	}
-
-	for k := range h.stale.segments {
-		segments = append(segments, k)
-	}
-
-	return pages, segments
+	return sortedKeys(h.stale.pages), sortedSegments(h.stale.segments)
 }
 
 // ApplyReloaded replaces stale rows by those read from the table. A row that does
--- a/core/placement/pressure.go
+++ b/core/placement/pressure.go
@@ -125,14 +125,15 @@
 		sum -= s.interference(r.report.Service, job, int64(r.pressure.coresAtMeasurement[job]*1000))
 	}
 
-	for name, size := range r.record.Committed {
+	// Sorted, since the sum depends on the order in its last digits.
+	for _, name := range sortedKeys(r.record.Committed) {
 		id, ok := parseAttemptID(name)
 		if !ok {
 			continue
 		}
 
 		percent := int64(throttleSteps()[r.throttleStep[id]])
-		sum += s.interference(r.report.Service, s.jobName(id.Job), size.MilliCores*percent/100)
+		sum += s.interference(r.report.Service, s.jobName(id.Job), r.record.Committed[name].MilliCores*percent/100)
 	}
 
 	return max(sum, 0)
