Start no attempt that counts as lapsed

A worker that was silent for longer than its lease counts as lost, and the ends of its attempts are queued as lapsed. When it reported again before these ends were recorded, its lease was renewed and a delayed start of such an attempt was still permitted; the next attempt ran beside it.

Change: an attempt whose end as lapsed is queued gets no permit and no repeated start, and a worker gets permits only while its lease can be valid, so that a permit has expired when its attempt counts as lapsed.

--- a/core/placement/histories_test.go
+++ b/core/placement/histories_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,8 +32,17 @@
 		"together":     {freeze: 0.05, pause: 0.005, silent: 0.002, reboot: 0.001, loseResult: 0.1, maxDelay: time.Second},
 	}
 
+	// Seeds with which an attempt started after it counted as lapsed, since its worker had
+	// reported again before that end was recorded.
+	lapsed := map[string][]uint64{"frozen": {185, 192, 213, 289}}
+
 	for name, f := range cases {
+		list := lapsed[name]
 		for seed := range uint64(seeds) {
+			list = append(list, seed)
+		}
+
+		for _, seed := range list {
 			t.Run(fmt.Sprintf("%s/%d", name, seed), func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) { runHistory(t, seed, f) })
@@ -83,28 +94,87 @@
 // TestSameSeed checks that runs with the same seed are identical, so that failures
 // can be reproduced.
 func TestSameSeed(t *testing.T) {
-	history := func() string {
-		var text string
-
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, 7, 3, 4, 2, faults{
-				pause:      0.005,
-				silent:     0.002,
-				loseResult: 0.1,
-				maxDelay:   500 * time.Millisecond,
-			})
-			w.declare(job("mix", 40, 2000, 5*time.Second))
-			w.run(30 * time.Second)
+	tests := map[string]struct {
+		seed   uint64
+		faults faults
+	}{
+		"Together": {7, faults{pause: 0.005, silent: 0.002, loseResult: 0.1, maxDelay: 500 * time.Millisecond}},
+		"Frozen":   {3, faults{freeze: 0.4, silent: 0.02, maxDelay: 300 * time.Millisecond}},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, eventsOf(t, c.seed, c.faults), eventsOf(t, c.seed, c.faults))
+		})
+	}
+}
+
+// eventsOf returns the events of all workers in a run.
+func eventsOf(t *testing.T, seed uint64, f faults) string {
+	t.Helper()
+
+	var text string
+
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, seed, 3, 4, 3, f)
+		w.declare(job("mix", 30, 2000, 5*time.Second))
+		w.declare(job("report", 30, 3000, 8*time.Second))
+		w.run(90 * time.Second)
+
+		for _, k := range w.workers {
+			text += fmt.Sprintln(k.runtime.Events())
+		}
+	})
+
+	return text
+}
+
+// TestRejectedBatches checks that the scheduler survives the rejection of its first batch,
+// whose rows don't exist yet, and that the rows of a rejected batch are read again in a
+// fixed order. Tasks are queued in the order in which their rows are read.
+func TestRejectedBatches(t *testing.T) {
+	const jobs = 20
+
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 1, jobs, 1, faults{})
+		for n := range jobs {
+			w.declare(job(fmt.Sprintf("mix-%02d", n), 4, 500, time.Minute))
+		}
+
+		s := w.schedulers[0]
+		first, sorted := true, 0
+
+		for range 400 {
+			time.Sleep(step)
+			w.runDelayed()
+			w.renewShards(s)
 
 			for _, k := range w.workers {
-				text += fmt.Sprintln(k.runtime.Events())
+				w.stepWorker(k)
 			}
-		})
 
-		return text
-	}
+			for _, b := range s.core.Tick(time.Now()).Batches {
+				if !first && len(b.Segments) < jobs/2 {
+					w.commit(s, b)
+
+					continue
+				}
+
+				first = false
+
+				s.core.ApplyResult(time.Now(), b, placement.ResultRejected)
+
+				_, keys := s.core.StaleRows(b.DataCentre)
+				sorted = max(sorted, len(keys))
+				assert.Assert(t, slices.IsSortedFunc(keys, func(a, b placement.SegmentKey) int {
+					return strings.Compare(a.Job, b.Job)
+				}), "%v", keys)
+				w.reload(s, b.DataCentre)
+			}
+		}
 
-	assert.Equal(t, history(), history())
+		assert.Assert(t, sorted >= jobs/2, "at most %d stale segments", sorted)
+	})
 }
 
 // TestDeletedJobs checks that all attempts of a deleted job stop and that nothing
--- a/core/placement/workers.go
+++ b/core/placement/workers.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -50,6 +51,9 @@
 	// leaseGrantedAt is when a lease was last granted.
 	leaseGrantedAt time.Time
 	lost           bool
+	// lapsing has the committed attempts whose end as lapsed is not recorded yet. They
+	// must not start, although the worker may report again and get a new lease.
+	lapsing map[AttemptID]bool
 	// newIncarnation is the BootID of a reported incarnation that isn't recorded,
 	// and newIncarnationToken the token of the reply to the first report of it.
 	newIncarnation      string
@@ -70,6 +74,7 @@
 		r = &workerInfo{
 			name:         name,
 			dataCentre:   dataCentre,
+			lapsing:      map[AttemptID]bool{},
 			startSentAt:  map[AttemptID]time.Time{},
 			throttleStep: map[AttemptID]int{},
 		}
@@ -165,18 +170,21 @@
 		}
 
 		id, ok := parseAttemptID(name)
-		if !ok || s.evicting[id] != nil || now.Sub(r.startSentAt[id]) < startResend {
+		if !ok || s.evicting[id] != nil || r.lapsing[id] || now.Sub(r.startSentAt[id]) < startResend {
 			continue
 		}
 
 		s.resendStart(now, h, r, id)
 	}
 
-	for id := range r.startSentAt {
-		if _, ok := r.record.Committed[id.String()]; !ok {
-			delete(r.startSentAt, id)
-		}
+	notCommitted := func(id AttemptID) bool {
+		_, ok := r.record.Committed[id.String()]
+
+		return !ok
 	}
+
+	maps.DeleteFunc(r.startSentAt, func(id AttemptID, _ time.Time) bool { return notCommitted(id) })
+	maps.DeleteFunc(r.lapsing, func(id AttemptID, _ bool) bool { return notCommitted(id) })
 }
 
 // resendStart repeats a start if its attempt is still current on the worker.
@@ -219,8 +227,13 @@
 // Permit reports whether an attempt may start now, or why it may not. After the
 // request arrives and before this call, the caller must have read from the table
 // that the shard is still held at the epoch and that the data centre isn't out.
-func (s *Scheduler) Permit(worker string, id AttemptID) (bool, string) {
+//
+// A worker gets permits only while its lease can be valid, and for attempts that don't
+// count as lapsed. leaseMargin is longer than a permit is valid, so that a permit that
+// was granted earlier has expired when an attempt counts as lapsed.
+func (s *Scheduler) Permit(now time.Time, worker string, id AttemptID) (bool, string) {
 	g, t := s.task(id)
+	r := s.workers[worker]
 
 	switch {
 	case t == nil:
@@ -233,6 +246,10 @@
 		return false, "the attempt is being stopped"
 	case s.out[t.DataCentre]:
 		return false, "the data centre is out"
+	case r == nil || now.Sub(r.leaseGrantedAt) >= s.options.TaskLease:
+		return false, "the worker does not report"
+	case r.lapsing[id]:
+		return false, "the attempt has lapsed"
 	}
 
 	if _, ok := s.shards[t.DataCentre]; !ok {
@@ -292,6 +309,7 @@
 			continue
 		}
 
+		r.lapsing[id] = true
 		h.ends = append(h.ends, reportedEnd{
 			worker: r.name,
 			End: End{
--- a/core/placement/world_test.go
+++ b/core/placement/world_test.go
@@ -629,7 +629,7 @@
 			return
 		}
 
-		if ok, _ := s.core.Permit(k.name, st.ID); !ok {
+		if ok, _ := s.core.Permit(time.Now(), k.name, st.ID); !ok {
 			return
 		}
 
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -116,7 +116,7 @@
 		return "this entry does not schedule the data centre"
 	}
 
-	_, reason := e.scheduler.Permit(p.session.Hello.GetWorker().GetName(), peer.DecodeAttemptID(p.message))
+	_, reason := e.scheduler.Permit(time.Now(), p.session.Hello.GetWorker().GetName(), peer.DecodeAttemptID(p.message))
 
 	return reason
 }
