Tell a slow store from one that is out of reach

The average latency only counted answered calls, so that the wait never grew.

Change: a transaction is waited for 450 ms at least; a later answer still closes the breaker and raises the average, which rises by half and falls by an eighth. A renewal in doubt is looked up in the store. The upper bound of the store's clock is the lowest one with drift in place of the highest, which a slow answer raised for good. A submission in doubt is held until its outcome is known or its deadline has come, where it was answered 504 at once: callers don't repeat those.

The coordinator's clock is a field, so that tests control it with the runtime's.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -31,6 +31,7 @@
 	"trefoildeck/internal/jsonlog"
 	"trefoildeck/internal/metering"
 	"trefoildeck/io/admin"
+	"trefoildeck/io/boottime"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
 	"trefoildeck/io/rows"
@@ -66,6 +67,8 @@
 	directStore *rows.Store
 	node        peer.Node
 	meter       *metering.Meter
+	// now is the clock of leases and timeouts, which also counts suspension.
+	now func() time.Duration
 
 	configuration atomic.Pointer[config.Configuration]
 	draining      atomic.Bool
@@ -105,6 +108,7 @@
 		settings: s,
 		log:      log,
 		meter:    metering.New(),
+		now:      boottime.Now,
 		node: peer.Node{
 			Name:       s.Node.Name,
 			Address:    netip.AddrPortFrom(s.Node.IP, uint16(s.Node.PeerPort)),
--- a/coordinator/election.go
+++ b/coordinator/election.go
@@ -11,7 +11,6 @@
 
 	"trefoildeck/core/lease"
 	"trefoildeck/internal/jsonlog"
-	"trefoildeck/io/boottime"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/rows"
 
@@ -115,7 +114,7 @@
 // shouldAcquire reports whether this process should take a free lease now. If a
 // stronger process is registered, it first waits for lease.TakeoverDelay.
 func (c *Coordinator) shouldAcquire(ctx context.Context, k *candidacy) bool {
-	now := boottime.Now()
+	now := c.now()
 
 	if k.since == 0 {
 		k.since = now
@@ -238,5 +237,5 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return lease.Holds(&c.clock, boottime.Now(), expiry)
+	return lease.Holds(&c.clock, c.now(), expiry)
 }
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -14,7 +14,6 @@
 	"trefoildeck/core/job"
 	"trefoildeck/core/lease"
 	"trefoildeck/internal/jsonlog"
-	"trefoildeck/io/boottime"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
 	"trefoildeck/io/rows"
@@ -168,6 +167,12 @@
 			wait = lease.RenewInterval
 
 			continue
+		case errors.Is(err, rows.ErrUnknown):
+			// The store may be slow and renew the lease in the meantime.
+			l.c.log.Warn("LeaseNotRenewed", zap.Int64("Term", l.term), jsonlog.Error(err))
+			sleep(ctx, leaderRetryPause)
+
+			fallthrough
 		case errors.Is(err, rows.ErrConflict):
 			if err := l.rereadLease(ctx); err != nil {
 				return err
@@ -186,8 +191,8 @@
 	return nil
 }
 
-// rereadLease determines whether a conflict comes from an earlier renewal whose
-// answer was lost or from another leader. If the store can't be read, the leader
+// rereadLease determines whether a renewal whose answer was lost took place, or whether
+// a conflict comes from such a renewal or from another leader. If the store can't be read, the leader
 // continues until its lease expires.
 func (l *leader) rereadLease(ctx context.Context) error {
 	ls, err := l.c.readLease(ctx)
@@ -210,7 +215,7 @@
 // lease.YieldAfter, at most once per lease.MinYieldInterval.
 func (l *leader) yieldToStronger(ctx context.Context) error {
 	for sleep(ctx, yieldCheckPeriod); ctx.Err() == nil; sleep(ctx, yieldCheckPeriod) {
-		now := boottime.Now()
+		now := l.c.now()
 
 		l.c.mu.Lock()
 		recently := l.c.yieldedAt > 0 && now-l.c.yieldedAt < lease.MinYieldInterval
@@ -269,7 +274,7 @@
 // load reads all jobs and their progress. It returns the version after which the
 // feed of jobs has to be read.
 func (l *leader) load(ctx context.Context) (int64, error) {
-	began := boottime.Now()
+	began := l.c.now()
 
 	progress := map[string][]byte{}
 
@@ -300,7 +305,7 @@
 	}
 
 	l.c.log.Info("JobsLoaded", zap.Int64("Term", l.term), zap.Int("Rows", n), zap.Int("Progress", len(progress)),
-		zap.Int64("Version", after), zap.Duration("Took", boottime.Now()-began))
+		zap.Int64("Version", after), zap.Duration("Took", l.c.now()-began))
 
 	return after, nil
 }
@@ -339,7 +344,7 @@
 
 		record, age, err := l.decodeJob(r)
 		if err == nil {
-			err = l.fleet.Load(boottime.Now(), age, record, progress[r.Key], cancelled[r.Key])
+			err = l.fleet.Load(l.c.now(), age, record, progress[r.Key], cancelled[r.Key])
 		}
 
 		if err != nil {
@@ -404,7 +409,7 @@
 		return
 	}
 
-	if l.fleet.Add(boottime.Now(), age, record) {
+	if l.fleet.Add(l.c.now(), age, record) {
 		l.c.log.Info("JobSeen", zap.String("Job", r.Key), zap.Int64("Row", r.Version), zap.Duration("Age", age))
 	}
 }
@@ -447,7 +452,7 @@
 		}
 
 		l.mu.Lock()
-		now := boottime.Now()
+		now := l.c.now()
 		orders := l.fleet.Schedule(now, time.Now())
 		l.dispatch(orders)
 		next := l.fleet.NextWake(now)
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"trefoildeck/internal/jsonlog"
-	"trefoildeck/io/boottime"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
 	"trefoildeck/io/rows"
@@ -58,7 +57,7 @@
 			first = false
 
 			l.mu.Lock()
-			l.fleet.AwaitReports(boottime.Now(), sidecars)
+			l.fleet.AwaitReports(l.c.now(), sidecars)
 			l.mu.Unlock()
 		}
 
@@ -126,7 +125,7 @@
 			defer l.mu.Unlock()
 
 			n.session = s
-			n.opened = boottime.Now()
+			n.opened = l.c.now()
 			l.c.log.Info("NodeConnected", zap.String("Node", n.node.Name), zap.Int64("Term", l.term))
 
 			if estimates := l.fleet.Interference.All(); n.node.Role == peer.RoleAgent && len(estimates) > 0 {
@@ -168,7 +167,7 @@
 	switch b := f.GetBody().(type) {
 	case *peerpb.Frame_Ping:
 		if l.holdsLease() {
-			l.fleet.RecordContact(boottime.Now(), n.node.Name)
+			l.fleet.RecordContact(l.c.now(), n.node.Name)
 			n.send(&peerpb.Frame{Body: &peerpb.Frame_Pong{Pong: &peerpb.Pong{Number: b.Ping.GetNumber()}}})
 		}
 	case *peerpb.Frame_WorkerReport:
@@ -185,7 +184,7 @@
 				zap.String("How", string(e.Reason)), zap.String("Node", n.node.Name), zap.Int64("Number", e.Number))
 		}
 
-		l.fleet.Report(boottime.Now(), n.node.Name, r)
+		l.fleet.Report(l.c.now(), n.node.Name, r)
 		notify(l.wake)
 	case *peerpb.Frame_Estimates:
 		// A restarted sidecar starts without evidence and must not replace that of the
--- a/coordinator/progress_test.go
+++ b/coordinator/progress_test.go
@@ -21,12 +21,22 @@
 
 const jobID = "00000000000000aa"
 
+// newTestCoordinator returns a coordinator on the runtime's clock, which synctest
+// controls.
+func newTestCoordinator(s *rows.Store) *Coordinator {
+	began := time.Now()
+	c := New(settings.Node{Node: settings.NodeSection{Name: "front-1"}}, s, zap.NewNop())
+	c.now = func() time.Duration { return time.Since(began) + time.Hour }
+
+	return c
+}
+
 // newTestLeader returns a leader that holds the lease in s. It has one job with two
 // tasks, both placed on the worker of the node side-1.
 func newTestLeader(t *testing.T, s *emulator.RowStore) *leader {
 	t.Helper()
 
-	c := New(settings.Node{Node: settings.NodeSection{Name: "front-1"}}, s.Store(), zap.NewNop())
+	c := newTestCoordinator(s.Store())
 	ls, err := c.readLease(t.Context())
 	assert.NilError(t, err)
 
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -100,9 +100,6 @@
 		return rows.Stamp{}, rows.ErrRefused
 	}
 
-	ctx, cancel := context.WithTimeout(ctx, c.answerWait())
-	defer cancel()
-
 	return direct.Commit(ctx, t)
 }
 
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -98,28 +98,35 @@
 
 // commit writes a row by an idempotent transaction, which it retries, and notifies the
 // leader. The error is rows.ErrConflict, platform.ErrUnknown if any attempt may have
-// been applied, or platform.ErrRefused if none was sent or all were refused.
+// been applied, or platform.ErrRefused if none was sent or all were refused. A refusal
+// comes early. If an attempt is in doubt, commit goes on until ctx is done, also while
+// the store is out of reach: the row may be written, and a caller that isn't told so
+// can't safely submit the job under another ID.
 func (c *Coordinator) commit(ctx context.Context, t rows.Transaction, row rows.Row) error {
 	t.Set = []rows.Row{row}
 	began := time.Now()
 	outcome := platform.ErrRefused
 
 	for {
-		if !c.storeReachable() {
+		err := rows.ErrRefused
+
+		if c.storeReachable() {
+			var stamp rows.Stamp
+
+			stamp, err = c.store.Commit(ctx, t)
+			row.Version = stamp.Version
+		} else if outcome == platform.ErrRefused {
 			return fmt.Errorf("the store is out of reach: %w", outcome)
 		}
 
-		stamp, err := c.store.Commit(ctx, t)
-		if err == nil {
-			row.Version = stamp.Version
+		switch {
+		case err == nil:
 			c.notifyLeader(row)
-		}
 
-		if err == nil || errors.Is(err, rows.ErrConflict) {
+			return nil
+		case errors.Is(err, rows.ErrConflict):
 			return err
-		}
-
-		if errors.Is(err, rows.ErrUnknown) {
+		case errors.Is(err, rows.ErrUnknown):
 			outcome = platform.ErrUnknown
 		}
 
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -3,27 +3,30 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strconv"
+	"sync"
 	"time"
 
 	"trefoildeck/internal/jsonlog"
-	"trefoildeck/io/boottime"
 	"trefoildeck/io/rows"
 
 	"go.uber.org/zap"
 )
 
 const (
-	// minAnswerWait and maxAnswerWait bound the timeout of a transaction. An answer
-	// takes about 10 ms, and less than 400 ms from the slowest store in the users'
-	// recordings.
-	minAnswerWait = 300 * time.Millisecond
+	// minAnswerWait and maxAnswerWait bound the wait for the answer to a transaction. An
+	// answer takes about 10 ms, and 310 ms from a store that is 62 times slower.
+	minAnswerWait = 450 * time.Millisecond
 	maxAnswerWait = time.Second
 	// answerWaitFactor is the timeout of a transaction as a multiple of the average
 	// latency.
 	answerWaitFactor = 4
-	// latencyDivisor sets the weight of a new answer in the average latency: 1/8.
-	latencyDivisor = 8
+	// slowerDivisor and fasterDivisor set the weight of a new answer in the average
+	// latency, if it took longer and less long: 1/2 and 1/8. A wait that is too short
+	// makes transactions fail and be repeated, which slows the store further.
+	slowerDivisor = 2
+	fasterDivisor = 8
 	// probePeriod is the time between probes of an unreachable store. It limits how
 	// long waiting requests are held up after the store has recovered.
 	probePeriod = 250 * time.Millisecond
@@ -37,14 +40,10 @@
 func (c *Coordinator) observedStore(s *rows.Store) *rows.Store {
 	return &rows.Store{
 		Commit: func(ctx context.Context, t rows.Transaction) (rows.Stamp, error) {
-			sent := boottime.Now()
-			stamp, err := s.Commit(ctx, t)
-			c.observe(sent, stamp, err)
-
-			return stamp, err
+			return c.commitPatiently(ctx, s, t)
 		},
 		Range: func(ctx context.Context, table, part, from, to string) (rows.Page, error) {
-			sent := boottime.Now()
+			sent := c.now()
 			p, err := s.Range(ctx, table, part, from, to)
 			c.observe(sent, p.Stamp, err)
 
@@ -54,7 +53,7 @@
 			p, err := s.Feed(ctx, table, after, wait)
 			if err != nil && !errors.Is(err, rows.ErrHistoryLost) {
 				// The duration of a long poll doesn't reflect the store's latency.
-				c.observe(boottime.Now(), rows.Stamp{}, err)
+				c.observe(c.now(), rows.Stamp{}, err)
 			}
 
 			return p, err
@@ -62,17 +61,75 @@
 	}
 }
 
+// commitPatiently commits and waits for the answer up to answerWait. An answer that
+// comes later still shows that the store is slow and not unreachable, and how slow it
+// is, so that the next calls wait long enough.
+func (c *Coordinator) commitPatiently(ctx context.Context, s *rows.Store, t rows.Transaction) (rows.Stamp, error) {
+	type answer struct {
+		stamp rows.Stamp
+		err   error
+	}
+
+	var (
+		answers = make(chan answer, 1)
+		wait    = c.answerWait()
+		sent    = c.now()
+		mu      sync.Mutex
+		waiting = true
+	)
+
+	go func() {
+		stamp, err := s.Commit(context.WithoutCancel(ctx), t)
+
+		mu.Lock()
+		late := !waiting
+		mu.Unlock()
+
+		if !late || err == nil || errors.Is(err, rows.ErrConflict) {
+			// A call that was given up has already been recorded as failed.
+			c.observe(sent, stamp, err)
+		}
+
+		answers <- answer{
+			stamp: stamp,
+			err:   err,
+		}
+	}()
+
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+
+	select {
+	case a := <-answers:
+		return a.stamp, a.err
+	case <-ctx.Done():
+		return rows.Stamp{}, fmt.Errorf("commit: %w", errors.Join(rows.ErrUnknown, ctx.Err()))
+	case <-timer.C:
+	}
+
+	mu.Lock()
+	waiting = false
+	mu.Unlock()
+
+	err := fmt.Errorf("commit: no answer within %s: %w", wait, rows.ErrUnknown)
+	c.observe(sent, rows.Stamp{}, err)
+
+	return rows.Stamp{}, err
+}
+
 // observe records the outcome of a call that was sent at a local time.
 func (c *Coordinator) observe(sent time.Duration, stamp rows.Stamp, err error) {
-	now := boottime.Now()
+	now := c.now()
 	answered := err == nil || errors.Is(err, rows.ErrConflict)
 	c.meter.Observe(now-sent, "store_calls", "answered", strconv.FormatBool(answered))
 
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if answered {
-		c.latency += (now - sent - c.latency) / latencyDivisor
+	if d := now - sent - c.latency; answered && d > 0 {
+		c.latency += d / slowerDivisor
+	} else if answered {
+		c.latency += d / fasterDivisor
 	}
 
 	if err == nil && stamp.Clock > 0 {
@@ -96,7 +153,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.clock.Latest(boottime.Now()), c.clock.Known()
+	return c.clock.Latest(c.now()), c.clock.Known()
 }
 
 // storeReachable reports whether a request to the store is likely to succeed, directly
@@ -141,7 +198,7 @@
 		return 0
 	}
 
-	return boottime.Now() - since
+	return c.now() - since
 }
 
 // storeUnavailable reports whether the store has not answered this process for longer
@@ -153,7 +210,7 @@
 	since, open := c.breaker.Open()
 	_, relayOpen := c.relayBreaker.Open()
 
-	return open && (relayOpen || c.relaySender() == nil) && boottime.Now()-since > unreadyAfter
+	return open && (relayOpen || c.relaySender() == nil) && c.now()-since > unreadyAfter
 }
 
 // answerWait returns the timeout of a transaction.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -61,6 +61,9 @@
 	Expiry time.Duration
 }
 
+// driftDivisor is the reciprocal of the greatest drift between two clocks: 1/50.
+const driftDivisor = 50
+
 // Clock estimates the store's monotonic clock from the store's responses.
 type Clock struct {
 	sent    time.Duration
@@ -69,11 +72,11 @@
 }
 
 // Observe records a reading of the store's clock from the response to a call
-// sent at the local time sent.
+// sent at the local time sent. Each reading gives an upper bound, which is loose if the
+// answer took long; the lowest one is kept, until drift has made it looser than a new
+// one. A slow answer must not shorten the leader's right to act.
 func (c *Clock) Observe(sent, reading time.Duration) {
-	if c.known && c.reading-c.sent >= reading-sent {
-		// The earlier reading gives the later estimate. A later estimate is safe: it
-		// only ends the leader's right to act sooner.
+	if c.known && c.Latest(sent) < reading {
 		return
 	}
 
@@ -89,7 +92,9 @@
 
 // Latest returns the upper bound of the store's clock at the local time now.
 func (c *Clock) Latest(now time.Duration) time.Duration {
-	return c.reading + now - c.sent
+	age := now - c.sent
+
+	return c.reading + age + age/driftDivisor
 }
 
 // Holds reports whether the holder of a lease that expires at expiry, on the
--- a/standin/emulator/row_store.go
+++ b/standin/emulator/row_store.go
@@ -33,6 +33,9 @@
 	LoseAnswer func(rows.Transaction) (lost bool, delay time.Duration)
 	// Refuse reports whether a call is refused.
 	Refuse func() bool
+	// CommitTime returns how long a transaction takes. The transactions of a part take
+	// place one after the other, and are refused if more than a second of them waits.
+	CommitTime func() time.Duration
 
 	mu        sync.Mutex
 	version   int64
@@ -43,8 +46,13 @@
 	droppedVersion int64
 	// changed is closed and replaced on each change.
 	changed chan struct{}
+	// busyUntil has, by part, the time at which the accepted transactions end.
+	busyUntil map[string]time.Time
 }
 
+// maxPartQueue is the time of waiting transactions above which a part refuses others.
+const maxPartQueue = time.Second
+
 type rowName struct {
 	table, part, key string
 }
@@ -55,8 +63,10 @@
 		LoseAnswer: func(rows.Transaction) (bool, time.Duration) { return false, 0 },
 		Refuse:     func() bool { return false },
 		startedAt:  time.Now(),
+		CommitTime: func() time.Duration { return 0 },
 		rows:       map[rowName]rows.Row{},
 		changed:    make(chan struct{}),
+		busyUntil:  map[string]time.Time{},
 	}
 }
 
@@ -91,6 +101,10 @@
 		return rows.Stamp{}, rows.ErrRefused
 	}
 
+	if !s.takeTurn(t.Part) {
+		return rows.Stamp{}, rows.ErrRefused
+	}
+
 	if lost, delay := s.LoseAnswer(t); lost {
 		time.AfterFunc(delay, func() {
 			// The caller has returned; the outcome is reported to no one.
@@ -103,6 +117,37 @@
 	return s.apply(t)
 }
 
+// takeTurn waits until the transactions of a part before this one and the transaction
+// itself have taken their time. It returns false if too many wait.
+func (s *RowStore) takeTurn(part string) bool {
+	d := s.CommitTime()
+	if d == 0 {
+		return true
+	}
+
+	s.mu.Lock()
+	now := time.Now()
+	begin := s.busyUntil[part]
+
+	if begin.Before(now) {
+		begin = now
+	}
+
+	if begin.Sub(now) > maxPartQueue {
+		s.mu.Unlock()
+
+		return false
+	}
+
+	end := begin.Add(d)
+	s.busyUntil[part] = end
+	s.mu.Unlock()
+
+	time.Sleep(end.Sub(now))
+
+	return true
+}
+
 func (s *RowStore) apply(t rows.Transaction) (rows.Stamp, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
