Handle signals at any point of the start, and keep the logs of soak runs

A process can't handle a signal before its first line of code, so that the soak now waits for the line Started; TestHostedTerminationAtStart sends SIGTERM every 2 ms of the start of both programs: before Started a process may end by the signal, with nothing logged, after it it ends gracefully.

An entry that never answered a readiness check has no callers, and closes at once.

With LOGS set (make soak, make hosted-soak), the log of each process of each run is kept under a name of its own.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,8 @@
 # Tests known to fail: exactly those that KNOWN-RED.txt lists.
 KNOWN_RED     = ^TestSoak$$
 TOOLS         = $(CURDIR)/.tools
+# Where the soaks keep the logs of each run, each under a name of its own.
+LOGS          = $(CURDIR)/.logs
 
 .PHONY: build
 build:
@@ -58,7 +60,7 @@
 # Runs random fault schedules on real processes, for longer than CI does.
 .PHONY: soak
 soak:
-	SEED=$(SEED) MINUTES=$(MINUTES) go test -count=1 -v -timeout 2h -run TestSoak ./integration
+	LOGS=$(LOGS) SEED=$(SEED) MINUTES=$(MINUTES) go test -count=1 -v -timeout 2h -run TestSoak ./integration
 
 # Measures the resource usage of the processes, for docs/CAPACITY.md.
 .PHONY: capacity
@@ -68,4 +70,4 @@
 # Injects random faults into trefoildeck-node on the emulated platform, in one run per seed.
 .PHONY: hosted-soak
 hosted-soak:
-	FIRST=$(FIRST) SEEDS=$(SEEDS) go test -count=1 -v -parallel 5 -timeout 1h -run TestHostedSoak ./integration
+	LOGS=$(LOGS) FIRST=$(FIRST) SEEDS=$(SEEDS) go test -count=1 -v -parallel 5 -timeout 1h -run TestHostedSoak ./integration
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -72,6 +72,8 @@
 
 	configuration atomic.Pointer[config.Configuration]
 	draining      atomic.Bool
+	// offered is set once a readiness check has succeeded, so that callers may come.
+	offered atomic.Bool
 
 	mu sync.Mutex
 	// clock estimates the store's monotonic clock.
@@ -179,7 +181,11 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if c.draining.Load() || c.configuration.Load() == nil || c.storeUnavailable() {
 			w.WriteHeader(http.StatusServiceUnavailable)
+
+			return
 		}
+
+		c.offered.Store(true)
 	})
 
 	return admin.Run(ctx, c.settings.Node.ReadyAddress, &http.Server{
@@ -225,7 +231,11 @@
 	go func() {
 		<-ctx.Done()
 		c.draining.Store(true)
-		time.Sleep(unreadyBeforeClose)
+
+		if c.offered.Load() {
+			time.Sleep(unreadyBeforeClose)
+		}
+
 		stop()
 	}()
 
--- a/integration/deployment_test.go
+++ b/integration/deployment_test.go
@@ -271,7 +271,11 @@
 func (d *deployment) launchInto(p *process, name, role, settings string) *process {
 	p.t = d.t
 	p.name = name
-	p.log = filepath.Join(d.folder, name+".log")
+	p.log = logFile(d.t, name)
+	if p.log == "" {
+		p.log = filepath.Join(d.folder, name+".log")
+	}
+
 	p.args = []string{role, "-settings", d.write(name+".ini", settings)}
 	p.start()
 
@@ -288,6 +292,23 @@
 	return p
 }
 
+// logFile returns the path of a new file for the log of a process in the folder LOGS, so
+// that the logs of each run are kept, or "" if LOGS is not set.
+func logFile(t *testing.T, name string) string {
+	t.Helper()
+
+	folder := os.Getenv("LOGS")
+	if folder == "" {
+		return ""
+	}
+
+	path, err := filepath.Abs(filepath.Join(folder, strings.ReplaceAll(t.Name(), "/", "-"), fmt.Sprintf("%s-%d.log", name, time.Now().UnixNano())))
+	assert.NilError(t, err)
+	assert.NilError(t, os.MkdirAll(filepath.Dir(path), 0o700))
+
+	return path
+}
+
 // start starts the process, also again after it has ended.
 func (p *process) start() {
 	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
--- a/integration/platform_restart_test.go
+++ b/integration/platform_restart_test.go
@@ -91,3 +91,43 @@
 		}
 	}
 }
+
+// TestHostedTerminationAtStart checks that a process that gets a SIGTERM while it starts
+// ends gracefully, unless it has logged nothing yet: signals can't be handled before.
+func TestHostedTerminationAtStart(t *testing.T) {
+	t.Parallel()
+
+	const (
+		step = 2 * time.Millisecond
+		// enough is the number of graceful ends, from the first on, after which the start
+		// is over.
+		enough = 12
+	)
+
+	h := startHosted(t, 34, 1, 1)
+	h.awaitAnyLeader()
+
+	for _, p := range []*hostedProcess{h.entries[0], h.agents[0]} {
+		h.kill(p)
+
+		graceful := 0
+
+		for delay := time.Duration(0); graceful < enough; delay += step {
+			h.start(p)
+			time.Sleep(delay)
+			assert.NilError(t, p.command.Process.Signal(syscall.SIGTERM))
+
+			if err := p.command.Wait(); err != nil {
+				assert.Equal(t, p.log.String(), "", "%s after the start: %v", delay, err)
+
+				continue
+			}
+
+			assert.Assert(t, strings.Contains(p.log.String(), `"Event":"Stopped"`), "%s after the start", delay)
+
+			graceful++
+		}
+
+		h.start(p)
+	}
+}
--- a/integration/platform_soak_test.go
+++ b/integration/platform_soak_test.go
@@ -39,8 +39,6 @@
 	// tasks (soakSteps) a second, and the smallest deployment runs 80 tasks a second,
 	// so that the queue is empty soon after the faults.
 	soakTaskDuration = 100 * time.Millisecond
-	// signalSetupTime bounds the time until a started process handles SIGTERM.
-	signalSetupTime = time.Second
 )
 
 // hostedSoak injects random faults into a deployment of trefoildeck-node, from
@@ -363,7 +361,7 @@
 // terminate sends SIGTERM to an entry, and restarts it when faults heal.
 func (s *hostedSoak) terminate() {
 	p := s.pickProcess(s.entries, -1)
-	if s.unavailable[p] || time.Since(p.startedAt) < signalSetupTime {
+	if s.unavailable[p] || !p.started() {
 		return
 	}
 
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -63,8 +63,53 @@
 	settings      string
 	callerAddress string
 	command       *exec.Cmd
-	startedAt     time.Time
-	log           *bytes.Buffer
+	log           *processLog
+}
+
+// processLog is the output of a process, which is read while it runs. With LOGS set, it
+// is also written to a file of its own in that folder.
+type processLog struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+	file   io.Writer
+}
+
+// newProcessLog returns the log of a process that is about to start.
+func newProcessLog(t *testing.T, name string) *processLog {
+	t.Helper()
+
+	l := &processLog{file: io.Discard}
+
+	path := logFile(t, name)
+	if path == "" {
+		return l
+	}
+
+	f, err := os.Create(path)
+	assert.NilError(t, err)
+	// The process may still write until the cleanup that stops it.
+	t.Cleanup(func() { _ = f.Close() })
+
+	l.file = f
+
+	return l
+}
+
+// Write implements io.Writer.
+func (l *processLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.buffer.Write(b)
+
+	return l.file.Write(b)
+}
+
+func (l *processLog) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	return l.buffer.String()
 }
 
 var nodeBinary = sync.OnceValues(func() (string, error) {
@@ -254,14 +299,17 @@
 	path, err := nodeBinary()
 	assert.NilError(h.t, err)
 
-	p.startedAt = time.Now()
-	p.log = &bytes.Buffer{}
+	p.log = newProcessLog(h.t, strings.TrimSuffix(filepath.Base(p.settings), ".ini"))
 	p.command = exec.Command(path, p.role, "-settings", p.settings)
 	p.command.Stdout = p.log
 	p.command.Stderr = p.log
 	assert.NilError(h.t, p.command.Start())
 }
 
+// started reports whether a process has logged that it started. Before that, it doesn't
+// handle signals.
+func (p *hostedProcess) started() bool { return strings.Contains(p.log.String(), `"Event":"Started"`) }
+
 // kill ends a process with SIGKILL.
 func (h *hosted) kill(p *hostedProcess) {
 	assert.NilError(h.t, p.command.Process.Kill())
