Let late goroutines log after the flush

Cause: the function that flushes the log closed the queue of lines. A goroutine that ended later and logged then sent on a closed channel, and the process ended by a panic (exit status 2) during a graceful end: the leader's link to a node, whose OnClose logs NodeLost, is not awaited.

Change: the queue is never closed; at the end, its writer writes the lines that are queued and then LinesDropped past the queue and the rate limit, where it was dropped as any other line while the limit was reached. The tests' stop() prints a panic first and prints the logs also of processes that have ended.

--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -319,7 +319,10 @@
 
 func (h *hosted) stop() {
 	for _, p := range append(append([]*hostedProcess{}, h.entries...), h.agents...) {
-		h.kill(p)
+		// A test that failed may leave processes that have ended.
+		if err := p.command.Process.Kill(); err == nil {
+			_ = p.command.Wait()
+		}
 
 		if h.t.Failed() {
 			h.t.Logf("%s\n%s", p.settings, tail(p.log.String()))
@@ -330,6 +333,11 @@
 func tail(s string) string {
 	const maxBytes = 200_000
 
+	// A panic and what follows it say more than the lines before.
+	if i := strings.Index(s, "\npanic: "); i >= 0 {
+		return s[i:]
+	}
+
 	return s[max(0, len(s)-maxBytes):]
 }
 
--- a/internal/jsonlog/jsonlog.go
+++ b/internal/jsonlog/jsonlog.go
@@ -36,7 +36,12 @@
 	queue   chan []byte
 	limit   *rate.Limiter
 	dropped atomic.Int64
+	// closing is closed when no more lines are written than those queued. The queue
+	// itself is never closed, since goroutines that end late may still log.
+	closing chan struct{}
 	done    chan struct{}
+	// last logs without the queue and the rate limit.
+	last *zap.Logger
 }
 
 // Write implements zapcore.WriteSyncer. It never blocks.
@@ -62,9 +67,27 @@
 func (w *writer) writeQueued(out io.Writer) {
 	defer close(w.done)
 
-	for line := range w.queue {
+	for {
 		// A failure to write the log can't be reported anywhere.
-		_, _ = out.Write(line)
+		select {
+		case line := <-w.queue:
+			_, _ = out.Write(line)
+		case <-w.closing:
+			w.writeLast(out)
+
+			return
+		}
+	}
+}
+
+// writeLast writes the lines that are still queued, and the number of those dropped.
+func (w *writer) writeLast(out io.Writer) {
+	for len(w.queue) > 0 {
+		_, _ = out.Write(<-w.queue)
+	}
+
+	if n := w.dropped.Load(); n > 0 {
+		w.last.Warn("LinesDropped", zap.Int64("Count", n))
 	}
 }
 
@@ -78,32 +101,28 @@
 	return zap.String("Error", err.Error())
 }
 
-// New returns a logger that writes to out, and a function that flushes and closes
-// the queue. The logger must not be used after it.
+// New returns a logger that writes to out, and a function that flushes the queue when
+// the process ends. Lines that are logged after it may be lost.
 func New(out io.Writer, level zapcore.Level) (*zap.Logger, func()) {
-	w := &writer{
-		queue: make(chan []byte, queueLines),
-		limit: rate.NewLimiter(linesPerSecond, burstLines),
-		done:  make(chan struct{}),
-	}
-
-	go w.writeQueued(out)
-
 	c := zap.NewProductionEncoderConfig()
 	c.TimeKey = "Time"
 	c.LevelKey = "Level"
 	c.MessageKey = "Event"
 	c.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	encoder := zapcore.NewJSONEncoder(c)
 
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(c), w, level)
-	log := zap.New(core)
+	w := &writer{
+		queue:   make(chan []byte, queueLines),
+		limit:   rate.NewLimiter(linesPerSecond, burstLines),
+		closing: make(chan struct{}),
+		done:    make(chan struct{}),
+		last:    zap.New(zapcore.NewCore(encoder, zapcore.AddSync(out), level)),
+	}
 
-	return log, func() {
-		if n := w.dropped.Load(); n > 0 {
-			log.Warn("LinesDropped", zap.Int64("Count", n))
-		}
+	go w.writeQueued(out)
 
-		close(w.queue)
+	return zap.New(zapcore.NewCore(encoder, w, level)), func() {
+		close(w.closing)
 
 		select {
 		case <-w.done:
