Fail no task for good while other workers are only silent, and count usage from records

Causes: - A failed attempt failed its task for good if no other worker had reported within 3 s. While workers are replaced or paused for a few seconds, one failure sufficed.

Changes: workers that have been silent for less than 30 s count as possible; a task that stays pending because it failed on all that are left is failed by a later pass. Usage is the sum of the workers' records. Stops carry their reason into the log. Rows count as written only when they are. Two fields that nothing read are gone.

Tried and not kept: sizes that fit nowhere remembered by job and size rather than by size.

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -140,7 +140,8 @@
 	return &c
 }
 
-// addUsage adds a size, which may be negative, to a team's usage.
+// addUsage adds a size, which may be negative, to a team's usage until the result of
+// the batch is known.
 func (b *Batch) addUsage(team string, size Size) {
 	b.teamUsage[team] = b.teamUsage[team].Add(size)
 	t := b.scheduler.team(team)
@@ -181,8 +182,10 @@
 		}
 	}
 
+	// The records of the workers have the usage of a written batch.
+	b.undoUsage()
+
 	if s.shards[b.DataCentre] != h {
-		b.undoUsage()
 		b.markStale()
 
 		return
@@ -191,7 +194,6 @@
 	if result != ResultWritten {
 		s.stats.Conflicts++
 		h.ends = append(h.ends, b.ends...)
-		b.undoUsage()
 		b.markStale()
 
 		return
--- a/core/placement/ends.go
+++ b/core/placement/ends.go
@@ -7,9 +7,15 @@
 	"time"
 )
 
-// maxFailures is the number of workers on which a task must fail before its phase
-// is Failed; fewer suffice if fewer workers are healthy.
-const maxFailures = 3
+const (
+	// maxFailures is the number of workers on which a task must fail before its phase
+	// is Failed; fewer suffice if fewer workers could run it.
+	maxFailures = 3
+	// maxSilence is how long a worker that doesn't report still counts as one that
+	// could run a task that failed elsewhere. A replaced or restarted machine reports
+	// again earlier.
+	maxSilence = 30 * time.Second
+)
 
 // End is the end of an attempt.
 type End struct {
@@ -165,6 +171,14 @@
 	task.Reason = reason
 	task.Failures++
 
+	if s.failedForGood(now, task) {
+		task.Phase = PhaseFailed
+	}
+}
+
+// failedForGood reports whether a task has failed on enough workers that it is not
+// tried again.
+func (s *Scheduler) failedForGood(now time.Time, task *Task) bool {
 	counted := 0
 
 	for _, name := range task.FailedOn {
@@ -174,18 +188,17 @@
 		}
 	}
 
-	if counted >= min(maxFailures, max(1, s.healthyWorkers(now))) {
-		task.Phase = PhaseFailed
-	}
+	return counted > 0 && counted >= min(maxFailures, max(1, s.possibleWorkers(now)))
 }
 
-// healthyWorkers returns the number of workers that report and aren't suspect, at
-// most maxFailures.
-func (s *Scheduler) healthyWorkers(now time.Time) int {
+// possibleWorkers returns the number of workers that aren't suspect and that report,
+// or have been silent for a short time only, at most maxFailures. Silent workers count
+// because a task must not fail for good on the one worker that still reports.
+func (s *Scheduler) possibleWorkers(now time.Time) int {
 	n := 0
 
 	for _, r := range s.workers {
-		if r.record != nil && !r.health.suspect() && now.Sub(r.reportedAt) < maxReportAge {
+		if r.record != nil && !r.health.suspect() && now.Sub(s.lastReport(r)) < maxSilence {
 			n++
 		}
 
@@ -197,6 +210,16 @@
 	return n
 }
 
+// lastReport returns the time of a worker's last report. One that hasn't reported to
+// this scheduler counts as having reported when the shard was taken.
+func (s *Scheduler) lastReport(r *workerInfo) time.Time {
+	if h := s.shards[r.dataCentre]; h != nil && h.takenAt.After(r.reportedAt) {
+		return h.takenAt
+	}
+
+	return r.reportedAt
+}
+
 // parseAttemptID parses the output of AttemptID.String.
 func parseAttemptID(text string) (AttemptID, bool) {
 	parts := strings.Split(text, "/")
--- a/core/placement/evict.go
+++ b/core/placement/evict.go
@@ -129,6 +129,7 @@
 			Worker:     e.worker,
 			ID:         id,
 			Checkpoint: e.checkpoint,
+			Reason:     e.reason,
 		})
 	}
 }
@@ -172,6 +173,7 @@
 		visited     int
 	)
 
+pages:
 	for _, n := range sortedKeys(h.pages) {
 		for _, name := range sortedKeys(h.pages[n].Workers) {
 			r := s.workers[name]
@@ -186,7 +188,7 @@
 
 			visited++
 			if visited >= maxPreemptVisited {
-				break
+				break pages
 			}
 		}
 	}
--- a/core/placement/jobs.go
+++ b/core/placement/jobs.go
@@ -8,12 +8,9 @@
 
 // jobInfo is the in-memory state of a job.
 type jobInfo struct {
-	spec       JobSpec
-	segments   []*segmentInfo
-	learned    learnedSize
-	declaredAt time.Time
-	// unschedulable says why no worker can run the job's tasks.
-	unschedulable string
+	spec     JobSpec
+	segments []*segmentInfo
+	learned  learnedSize
 }
 
 // segmentInfo is the in-memory state of a segment.
@@ -81,7 +78,7 @@
 	if ok {
 		j.spec.Cancelled = j.spec.Cancelled || spec.Cancelled
 	} else {
-		j = newJob(now, spec)
+		j = newJob(spec)
 		s.jobs[spec.Key] = j
 	}
 
@@ -112,11 +109,8 @@
 	}
 }
 
-func newJob(now time.Time, spec JobSpec) *jobInfo {
-	j := &jobInfo{
-		spec:       spec,
-		declaredAt: now,
-	}
+func newJob(spec JobSpec) *jobInfo {
+	j := &jobInfo{spec: spec}
 
 	for first := 0; first < spec.Tasks; first += SegmentSize {
 		tasks := make([]Task, min(SegmentSize, spec.Tasks-first))
@@ -150,7 +144,7 @@
 // segment without tasks has no row; all its tasks are pending.
 func (s *Scheduler) setSegment(now time.Time, g *segmentInfo, c *Segment) {
 	if len(c.Tasks) == 0 {
-		c.Tasks = newJob(now, g.job.spec).segments[c.Number].record.Tasks
+		c.Tasks = newJob(g.job.spec).segments[c.Number].record.Tasks
 	}
 
 	g.record = c
--- a/core/placement/place.go
+++ b/core/placement/place.go
@@ -169,7 +169,16 @@
 			return true
 		}
 
-		if !t.allows(size) || !p.placeTask(g, i, size) {
+		if !t.allows(size) {
+			return false
+		}
+
+		if !p.placeTask(g, i, size) {
+			// A task that failed on all workers with room must not hold up the others.
+			if len(tasks[i].FailedOn) > 0 && !p.batchFull {
+				continue
+			}
+
 			return false
 		}
 
@@ -191,15 +200,39 @@
 		current = c
 	}
 
-	r := p.findWorker(g.job, size, current.Tasks[i].FailedOn)
-	if r == nil {
-		p.noFit[size] = true
-		p.handleNoRoom(g, size)
+	failedOn := current.Tasks[i].FailedOn
+
+	r := p.findWorker(g.job, size, failedOn)
+	if r != nil {
+		return p.assign(g, i, r, size)
+	}
+
+	if len(failedOn) > 0 && p.s.failedForGood(p.now, &current.Tasks[i]) {
+		p.failTask(g, i)
 
 		return false
 	}
 
-	return p.assign(g, i, r, size)
+	// Another task may fit where this one failed.
+	if len(failedOn) == 0 {
+		p.noFit[size] = true
+	}
+
+	p.handleNoRoom(g, size)
+
+	return false
+}
+
+// failTask sets the phase of a task to Failed, with the reason of its last failure.
+func (p *placer) failTask(g *segmentInfo, i int) {
+	c := p.b.segment(g)
+	if c == nil {
+		p.batchFull = true
+
+		return
+	}
+
+	c.Tasks[i].Phase = PhaseFailed
 }
 
 // handleNoRoom fails the pending tasks if they can never be placed, and otherwise
@@ -223,8 +256,6 @@
 		return
 	}
 
-	g.job.unschedulable = reason
-
 	for i := range c.Tasks {
 		if c.Tasks[i].Phase == PhasePending {
 			c.Tasks[i].Phase = PhaseFailed
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -119,11 +119,12 @@
 }
 
 // Stop is a command to an agent to stop an attempt, after writing a checkpoint
-// if Checkpoint is set.
+// if Checkpoint is set. Reason is for the log.
 type Stop struct {
 	Worker     string
 	ID         AttemptID
 	Checkpoint bool
+	Reason     string
 }
 
 // Throttle is a command to an agent to limit an attempt to Percent of the
--- a/core/placement/shard.go
+++ b/core/placement/shard.go
@@ -84,6 +84,7 @@
 
 	for _, p := range h.pages {
 		for name := range p.Workers {
+			s.setUsage(s.workers[name], nil)
 			delete(s.workers, name)
 		}
 	}
@@ -159,16 +160,44 @@
 func (s *Scheduler) setRecord(h *shard, r *workerInfo, w *Worker) {
 	r.record = w
 	r.free = w.Free()
+	s.setUsage(r, w.Committed)
 	delete(h.changedWorkers, r.name)
 	h.index.update(r)
 }
 
+// setUsage replaces what a worker's attempts add to the usage of their teams. Usage is
+// the sum of the records, so that it is right from the moment that a shard is taken.
+func (s *Scheduler) setUsage(r *workerInfo, committed map[string]Size) {
+	for name, size := range r.usage {
+		t := s.team(name)
+		t.used = t.used.Sub(size)
+	}
+
+	r.usage = map[string]Size{}
+
+	for name, size := range committed {
+		id, ok := parseAttemptID(name)
+		if !ok || s.jobs[id.Job] == nil {
+			continue
+		}
+
+		team := s.jobs[id.Job].spec.Team
+		r.usage[team] = r.usage[team].Add(size)
+	}
+
+	for name, size := range r.usage {
+		t := s.team(name)
+		t.used = t.used.Add(size)
+	}
+}
+
 func (s *Scheduler) removeWorker(h *shard, name string) {
 	r := s.workers[name]
 	if r == nil {
 		return
 	}
 
+	s.setUsage(r, nil)
 	h.index.remove(r)
 	delete(s.workers, name)
 }
--- a/core/placement/workers.go
+++ b/core/placement/workers.go
@@ -45,6 +45,8 @@
 	page       int
 	record     *Worker
 	free       Size
+	// usage is what the record adds to the usage of each team.
+	usage map[string]Size
 	// report is the last heartbeat and reportedAt the time of its arrival.
 	report     Report
 	reportedAt time.Time
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -84,7 +84,7 @@
 	}
 
 	for _, s := range c.Stops {
-		e.log.Info("TaskStopSent", zap.Stringer("Task", s.ID), zap.String("Worker", s.Worker))
+		e.log.Info("TaskStopSent", zap.Stringer("Task", s.ID), zap.String("Worker", s.Worker), zap.String("Reason", s.Reason))
 		e.sendToWorker(s.Worker, &peerpb.Frame{Body: &peerpb.Frame_StopTask{StopTask: &peerpb.StopTask{
 			Job:        s.ID.Job,
 			Task:       int32(s.ID.Task),
@@ -159,10 +159,11 @@
 	startedAt := time.Now()
 	err = e.table.Commit(ctx, writes)
 	e.metrics.commitSeconds.Update(time.Since(startedAt).Seconds())
-	e.metrics.rowsWritten.Add(len(writes))
 
 	switch {
 	case err == nil:
+		e.metrics.rowsWritten.Add(len(writes))
+
 		return placement.ResultWritten
 	case errors.Is(err, table.ErrConflict):
 		e.log.Info("BatchRejected", zap.String("DataCentre", b.DataCentre))
