Relay calls to the store through all coordinators in turn, and fail them early

Change: the processes that may relay are held in one table by name, filled when sessions open and emptied when they end; calls go to them in turn and sorted by name; one that can't be reached costs no call; the end of a session fails its calls as unknown.

The parts are read 16 at a time at a take-over. Feeds are asked again after 1.5 s in place of 3 s, the time that a process has to recover from a dead connection.

--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -17,7 +17,7 @@
 	// limits how long a dead connection goes unnoticed, which must stay well within the
 	// deadline for new configurations and the 3 s that a process has to recover from a
 	// disturbance.
-	feedWait = 3 * time.Second
+	feedWait = 1500 * time.Millisecond
 	// feedPause is the delay after a failed read: a configuration must be in force
 	// within 2 s.
 	feedPause = 250 * time.Millisecond
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -96,9 +96,14 @@
 	remoteLeader peer.LeaderSession
 	// yieldedAt is when this process last resigned in favour of a stronger one.
 	yieldedAt time.Duration
+	// relayPeers holds the processes that may relay calls to the store, by name: the
+	// leader, or on the leader the other coordinators.
+	relayPeers map[string]*relayPeer
+	// relayTurn counts the relayed calls, and so selects the peer for the next one.
+	relayTurn int
 	// queries and storeCalls hold the pending requests to peers by number.
 	queries    map[uint64]chan *peerpb.QueryAnswer
-	storeCalls map[uint64]chan *peerpb.StoreAnswer
+	storeCalls map[uint64]storeCall
 	lastNumber uint64
 	// leaderChanged is signalled when the leader's session ends.
 	leaderChanged chan struct{}
@@ -122,7 +127,8 @@
 		},
 		out:           map[string]bool{},
 		queries:       map[uint64]chan *peerpb.QueryAnswer{},
-		storeCalls:    map[uint64]chan *peerpb.StoreAnswer{},
+		storeCalls:    map[uint64]storeCall{},
+		relayPeers:    map[string]*relayPeer{},
 		leaderChanged: make(chan struct{}, 1),
 		storeLost:     make(chan struct{}),
 	}
@@ -271,19 +277,23 @@
 // one.
 func (c *Coordinator) acceptLeader(p *peer.Session) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	err := c.remoteLeader.Accept(p)
+	c.mu.Unlock()
 
-	if err := c.remoteLeader.Accept(p); err != nil {
+	if err != nil {
 		return err
 	}
 
-	c.log.Info("LeaderConnected", zap.String("Leader", p.Hello.GetName()), zap.Int64("Term", c.remoteLeader.Term))
+	c.setRelayPeer(p, p.Hello.GetName())
+	c.log.Info("LeaderConnected", zap.String("Leader", p.Hello.GetName()), zap.Int64("Term", p.Hello.GetTerm()))
 
 	return nil
 }
 
-// dropLeader fails the pending queries when the leader's session ends.
+// dropLeader fails the pending queries and relayed calls when the leader's session ends.
 func (c *Coordinator) dropLeader(p *peer.Session) {
+	c.dropRelayPeer(p)
+
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -27,6 +27,9 @@
 	// leaderRetryPause is the delay before the leader repeats a call to the store
 	// that failed or whose outcome is unknown.
 	leaderRetryPause = 100 * time.Millisecond
+	// loadReads is the number of parts of the jobs that are read at the same time, with up
+	// to 20 ms of network latency each.
+	loadReads = 16
 	// scheduleDelay batches reports into one scheduling pass: at 400 reports a
 	// second, a pass for each would take 5% of a core (BenchmarkSchedule). It delays
 	// the start of each task.
@@ -65,9 +68,6 @@
 	wake chan struct{}
 	// flush requests a write of changes.
 	flush chan struct{}
-	// relayTurn counts the relayed calls to the store, and so selects the coordinator that
-	// relays the next one.
-	relayTurn int
 }
 
 func newLeader(c *Coordinator, term int64, ls leaseState) *leader {
@@ -288,20 +288,9 @@
 		l.setVersion(r.Key, r.Version)
 	}
 
-	after, n := int64(0), 0
-
-	for i := range jobParts {
-		p, err := l.readAll(ctx, jobTable, partName(i))
-		if err != nil {
-			return 0, err
-		}
-
-		if after == 0 || p.Version < after {
-			after = p.Version
-		}
-
-		n += len(p.Rows)
-		l.loadJobs(p.Rows, progress)
+	after, n, err := l.loadParts(ctx, progress)
+	if err != nil {
+		return 0, err
 	}
 
 	l.c.log.Info("JobsLoaded", zap.Int64("Term", l.term), zap.Int("Rows", n), zap.Int("Progress", len(progress)),
@@ -310,6 +299,40 @@
 	return after, nil
 }
 
+// loadParts reads the parts of the jobs at the same time and adds their jobs to the fleet.
+// It returns the lowest version of the parts, from which the feed continues, and the number
+// of rows.
+func (l *leader) loadParts(ctx context.Context, progress map[string][]byte) (after int64, n int, err error) {
+	var mu sync.Mutex
+
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(loadReads)
+
+	for i := range jobParts {
+		group.Go(func() error {
+			p, err := l.readAll(ctx, jobTable, partName(i))
+			if err != nil {
+				return err
+			}
+
+			l.loadJobs(p.Rows, progress)
+
+			mu.Lock()
+			defer mu.Unlock()
+
+			if after == 0 || p.Version < after {
+				after = p.Version
+			}
+
+			n += len(p.Rows)
+
+			return nil
+		})
+	}
+
+	return after, n, group.Wait()
+}
+
 // readAll reads all rows of a part and retries until ctx is done.
 func (l *leader) readAll(ctx context.Context, table, part string) (rows.Page, error) {
 	for {
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -121,6 +121,10 @@
 			}
 		},
 		OnOpen: func(s *peer.Session) {
+			if n.node.Role == peer.RoleEntry {
+				l.c.setRelayPeer(s, n.node.Name)
+			}
+
 			l.mu.Lock()
 			defer l.mu.Unlock()
 
@@ -134,6 +138,8 @@
 		},
 		OnFrame: func(s *peer.Session, f *peerpb.Frame) { l.handleFrame(n, s, f) },
 		OnClose: func(s *peer.Session) {
+			l.c.dropRelayPeer(s)
+
 			l.mu.Lock()
 			defer l.mu.Unlock()
 
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -113,30 +115,58 @@
 	return !open
 }
 
-// relay sends a call to a peer, which makes it in place of this process. The error is
-// rows.ErrRefused if there is no peer and rows.ErrUnknown if the peer doesn't answer
-// within the limit.
-func (c *Coordinator) relay(ctx context.Context, m *peerpb.StoreCall, limit time.Duration) (rows.Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+// relayPeer is a process with a session that may make calls to the store in place of
+// this one.
+type relayPeer struct {
+	session *peer.Session
+	send    func(*peerpb.Frame) error
+}
 
-	answer := make(chan *peerpb.StoreAnswer, 1)
+// storeCall is a call that a peer was asked to make. Its channel is closed if the session
+// ends before the answer.
+type storeCall struct {
+	via    *relayPeer
+	answer chan *peerpb.StoreAnswer
+}
 
+// setRelayPeer adds or replaces a process that may relay calls.
+func (c *Coordinator) setRelayPeer(s *peer.Session, name string) {
 	c.mu.Lock()
-	send := c.relaySender()
+	defer c.mu.Unlock()
 
-	if send == nil {
-		c.mu.Unlock()
+	c.relayPeers[name] = &relayPeer{
+		session: s,
+		send:    s.Send,
+	}
+}
 
-		return rows.Page{}, fmt.Errorf("no peer to ask: %w", rows.ErrRefused)
+// dropRelayPeer removes a process whose session has ended, and fails the calls that wait
+// for its answer.
+func (c *Coordinator) dropRelayPeer(s *peer.Session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	maps.DeleteFunc(c.relayPeers, func(_ string, p *relayPeer) bool { return p.session == s })
+
+	for n, call := range c.storeCalls {
+		if call.via.session == s {
+			close(call.answer)
+			delete(c.storeCalls, n)
+		}
 	}
+}
 
-	c.lastNumber++
-	m.Number = c.lastNumber
-	c.storeCalls[m.GetNumber()] = answer
-	c.mu.Unlock()
+// relay sends a call to a peer, which makes it in place of this process. The error is
+// rows.ErrRefused if there is no peer and rows.ErrUnknown if the peer doesn't answer
+// within the limit or its session ends.
+func (c *Coordinator) relay(ctx context.Context, m *peerpb.StoreCall, limit time.Duration) (rows.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 
-	send(&peerpb.Frame{Body: &peerpb.Frame_StoreCall{StoreCall: m}})
+	answer, sent := c.sendStoreCall(m)
+	if !sent {
+		return rows.Page{}, fmt.Errorf("no peer to ask: %w", rows.ErrRefused)
+	}
 
 	defer func() {
 		c.mu.Lock()
@@ -145,7 +175,11 @@
 	}()
 
 	select {
-	case a := <-answer:
+	case a, ok := <-answer:
+		if !ok {
+			return rows.Page{}, fmt.Errorf("the peer was lost: %w", rows.ErrUnknown)
+		}
+
 		p, err := peer.DecodeStoreAnswer(a)
 		c.recordRelayOutcome(err)
 
@@ -157,58 +191,51 @@
 	}
 }
 
-// recordRelayOutcome updates the metrics and the breaker of relayed calls.
-func (c *Coordinator) recordRelayOutcome(err error) {
-	c.meter.Count("relayed_calls_total", "answered", strconv.FormatBool(err == nil))
-
+// sendStoreCall sends a call to the next peer in turn that takes it. It returns the
+// channel for the answer, and false if no peer took the call.
+func (c *Coordinator) sendStoreCall(m *peerpb.StoreCall) (<-chan *peerpb.StoreAnswer, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	ok := err == nil || errors.Is(err, rows.ErrConflict) || errors.Is(err, rows.ErrHistoryLost)
-	if c.relayBreaker.Report(0, ok) {
-		c.log.Warn("Relay", zap.Bool("Reached", ok), jsonlog.Error(err))
-	}
-}
+	c.lastNumber++
+	m.Number = c.lastNumber
 
-// relaySender returns a function that sends a frame to a peer which may reach the
-// store: the leader, or on the leader one of the other coordinators. It returns nil if
-// there is none. The caller holds c.mu.
-func (c *Coordinator) relaySender() func(*peerpb.Frame) {
-	if s := c.remoteLeader.Session; s != nil {
-		return func(f *peerpb.Frame) {
-			if err := s.Send(f); err != nil {
-				c.log.Warn("LeaderUnreachable", jsonlog.Error(err))
-			}
+	// Sorted, so that all peers have their turn.
+	names := slices.Sorted(maps.Keys(c.relayPeers))
+	for range names {
+		c.relayTurn++
+		name := names[c.relayTurn%len(names)]
+		p := c.relayPeers[name]
+
+		if err := p.send(&peerpb.Frame{Body: &peerpb.Frame_StoreCall{StoreCall: m}}); err != nil {
+			c.log.Warn("RelayUnreachable", zap.String("Node", name), jsonlog.Error(err))
+
+			continue
 		}
-	}
 
-	if l := c.localLeader; l != nil {
-		return l.sendToCoordinator
+		call := storeCall{
+			via:    p,
+			answer: make(chan *peerpb.StoreAnswer, 1),
+		}
+		c.storeCalls[m.GetNumber()] = call
+
+		return call.answer, true
 	}
 
-	return nil
+	return nil, false
 }
 
-// sendToCoordinator sends a frame to one of the other connected coordinators, varying
-// between calls. Without one, it drops the frame.
-func (l *leader) sendToCoordinator(f *peerpb.Frame) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	var coordinators []*nodeLink
+// recordRelayOutcome updates the metrics and the breaker of relayed calls.
+func (c *Coordinator) recordRelayOutcome(err error) {
+	c.meter.Count("relayed_calls_total", "answered", strconv.FormatBool(err == nil))
 
-	for _, n := range l.nodes {
-		if n.node.Role == peer.RoleEntry && n.session != nil {
-			coordinators = append(coordinators, n)
-		}
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 
-	if len(coordinators) == 0 {
-		return
+	ok := err == nil || errors.Is(err, rows.ErrConflict) || errors.Is(err, rows.ErrHistoryLost)
+	if c.relayBreaker.Report(0, ok) {
+		c.log.Warn("Relay", zap.Bool("Reached", ok), jsonlog.Error(err))
 	}
-
-	l.relayTurn++
-	coordinators[l.relayTurn%len(coordinators)].send(f)
 }
 
 // serveRelay makes a call for a peer. It only calls the store directly, so that relays
@@ -231,8 +258,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	if answer, ok := c.storeCalls[a.GetNumber()]; ok {
+	if call, ok := c.storeCalls[a.GetNumber()]; ok {
 		delete(c.storeCalls, a.GetNumber())
-		answer <- a
+		call.answer <- a
 	}
 }
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -29,7 +29,7 @@
 	jobKeysEnd = "0"
 	// jobParts is the number of parts that jobs are spread over. A part applies its
 	// transactions one by one: 200 a second, or 2 a second when the store is slow.
-	jobParts = 16
+	jobParts = 64
 
 	// retryTimeout limits the attempts to reach the store before a request is
 	// refused: a refusal counts as late after a quarter of the latency objective.
@@ -42,9 +42,9 @@
 // partName returns the name of the n-th part for jobs.
 func partName(n int) string { return "jobs-" + strconv.Itoa(n) }
 
-// partOf returns the part that holds the rows of a job.
+// partOf returns the part that holds the rows of a job, by the last byte of its ID.
 func partOf(id string) string {
-	n, err := strconv.ParseUint(id[len(id)-1:], 16, 8)
+	n, err := strconv.ParseUint(id[len(id)-2:], 16, 8)
 	if err != nil {
 		// Callers validate IDs before, so this part is only a default.
 		n = 0
--- a/coordinator/slow_store_test.go
+++ b/coordinator/slow_store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -71,8 +72,7 @@
 		assert.Check(t, l.holdsLease(), "after %s", time.Duration(i)*interval)
 
 		go func() {
-			id := "0123456789abcdef"[i%jobParts : i%jobParts+1]
-			if l.c.accept(ctx, config.Queue{}, "00000000000000"+string(rune('a'+i/jobParts))+id, job.Spec{}) != nil {
+			if l.c.accept(ctx, config.Queue{}, fmt.Sprintf("%016x", i), job.Spec{}) != nil {
 				refusals.Add(1)
 			}
 		}()
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -168,7 +168,7 @@
 
 	_, open := c.relayBreaker.Open()
 
-	return !open && c.relaySender() != nil
+	return !open && len(c.relayPeers) > 0
 }
 
 // probe calls the store every probePeriod while it is unreachable, so that its recovery
@@ -210,7 +210,7 @@
 	since, open := c.breaker.Open()
 	_, relayOpen := c.relayBreaker.Open()
 
-	return open && (relayOpen || c.relaySender() == nil) && c.now()-since > unreadyAfter
+	return open && (relayOpen || len(c.relayPeers) == 0) && c.now()-since > unreadyAfter
 }
 
 // answerWait returns the timeout of a transaction.
