Mend eight faults that readers of the code suspected

- Routing: a rest or the probation after it ended early when the endpoint was silent for a moment, its data centre went out and back, or its session was replaced: the endpoint became Active without having proved itself.
- Catalog: a set that deletes a resource and changes it too was accepted, and its rows contradicted each other.
It is rejected with the resource's name (TestChangedTwice).
A welcome that can't be sent left its session in the table*.
A set of more than 49 changes is applied in parts: the error says now how many took effect, and the pages no longer say "all or none"*.
A field that nothing read is gone.
- Callers: the fingerprint of a request with an idempotency key covered 64 KiB of its body, so that two requests that differ later shared a key.
Larger bodies are refused with 413 before they run (TestKeyedBody).
- trefoildeck check reads the settings of trefoildeck-node (TestExitStatus).
- A SIGHUP to trefoildeck-node logged Reloaded, though nothing is reloaded: it logs SettingsChecked or SettingsInvalid. internal/local leaves nothing running when its start fails*.
Agents of the integration tests have a store address of their own.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -34,6 +34,8 @@
 	ErrNotFound = eris.New("no such resource")
 	// ErrReferenced is returned if other resources refer to one to be deleted.
 	ErrReferenced = eris.New("other resources refer to it")
+	// ErrChangedTwice is returned if a set deletes a resource and changes it too.
+	ErrChangedTwice = eris.New("the set changes it twice")
 	// ErrImmutable is returned if the specification of an existing job is changed.
 	ErrImmutable = eris.New("an accepted job can't be changed: delete it, or declare one of another name")
 )
@@ -186,9 +188,15 @@
 		problems resource.Problems
 	)
 
-	deleted := map[resource.ID]bool{}
+	deleted, listed := map[resource.ID]bool{}, map[resource.ID]bool{}
 
 	for _, ch := range changes {
+		if listed[ch.ID] && (ch.Delete || deleted[ch.ID]) {
+			return fmt.Errorf("%s: %w", ch.ID, ErrChangedTwice)
+		}
+
+		listed[ch.ID] = true
+
 		if ch.Delete {
 			deleted[ch.ID] = true
 
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -66,6 +66,38 @@
 	}
 }
 
+// TestChangedTwice checks that a set that deletes a resource and changes it too is
+// rejected, in either order: its rows would contradict each other.
+func TestChangedTwice(t *testing.T) {
+	team := id(resource.KindTeam, "t")
+	declare := catalog.Change{
+		ID:         team,
+		Spec:       &resource.Team{MemoryMB: 1},
+		IfRevision: catalog.AnyRevision,
+	}
+	remove := catalog.Change{
+		ID:         team,
+		Delete:     true,
+		IfRevision: catalog.AnyRevision,
+	}
+
+	tests := map[string][]catalog.Change{
+		"DeclareFirst": {declare, remove},
+		"DeleteFirst":  {remove, declare},
+		"DeleteTwice":  {remove, remove},
+	}
+
+	for name, set := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := catalog.New()
+			c.Merge([]resource.Resource{{ID: team, Revision: 1, Spec: &resource.Team{}}})
+
+			_, err := c.Plan(set)
+			assert.ErrorIs(t, err, catalog.ErrChangedTwice)
+		})
+	}
+}
+
 // TestNeverReverts merges revisions in random order, some of them twice: the
 // catalog must keep the highest, also if it is a deletion.
 func TestNeverReverts(t *testing.T) {
--- a/core/routing/endpoint.go
+++ b/core/routing/endpoint.go
@@ -105,10 +105,17 @@
 	successes int32
 	// backoffUntil is when an endpoint that refused gets requests again.
 	backoffUntil time.Time
-	// restTime is the length of the last rest.
+	rest
+}
+
+// rest is the last rest of an endpoint.
+type rest struct {
 	restTime      time.Duration
 	restUntil     time.Time
 	restStartedAt time.Time
+	// unproven is set from the beginning of the rest until the end of the probation after
+	// it.
+	unproven bool
 }
 
 // usableSlots returns the number of slots to fill at now. During slow start it
--- a/core/routing/health.go
+++ b/core/routing/health.go
@@ -64,6 +64,7 @@
 		e.successes++
 		if e.successes >= probationSuccesses {
 			e.state = stateActive
+			e.unproven = false
 			e.slowStartFrom = now
 		}
 	case stateActive:
@@ -87,7 +88,7 @@
 // startRest stops requests to an endpoint for a time, unless more than
 // maxRestingShare of all endpoints would rest then.
 func (p *pool) startRest(now time.Time, i int32) {
-	if float64(p.resting+1) > maxRestingShare*float64(p.count) {
+	if !p.mayRest() {
 		return
 	}
 
@@ -95,9 +96,31 @@
 	e.restTime = e.nextRestTime(now)
 	e.restUntil = now.Add(e.restTime)
 	e.restStartedAt = now
+	e.unproven = true
 	p.disable(i, stateResting)
 }
 
+// mayRest reports whether one more endpoint may rest.
+func (p *pool) mayRest() bool {
+	return float64(p.resting+1) <= maxRestingShare*float64(p.count)
+}
+
+// readmit makes an endpoint available that was silent, out or withdrawn. If that cut a rest
+// or the probation after it short, it goes on.
+func (p *pool) readmit(now time.Time, i int32) {
+	e := &p.endpoints[i]
+
+	switch {
+	case !e.unproven:
+		p.enable(i, stateActive)
+	case now.Before(e.restUntil) && p.mayRest():
+		p.disable(i, stateResting)
+	default:
+		p.resetEstimates(e)
+		p.enable(i, stateProbation)
+	}
+}
+
 // tick ends rests that are over and updates the baseline and the utilization.
 func (p *pool) tick(now time.Time) {
 	p.mu.Lock()
@@ -142,10 +165,7 @@
 func (p *pool) startProbation(i int32) {
 	e := &p.endpoints[i]
 	p.resting--
-	e.failureRate = 0
-	e.samples = 0
-	e.successes = 0
-	e.latency = newMedian(max(p.baseline, time.Millisecond))
+	p.resetEstimates(e)
 
 	if p.groups[e.group].out {
 		e.state = stateOut
@@ -156,6 +176,14 @@
 	p.enable(i, stateProbation)
 }
 
+// resetEstimates forgets the results before a rest.
+func (p *pool) resetEstimates(e *endpoint) {
+	e.failureRate = 0
+	e.samples = 0
+	e.successes = 0
+	e.latency = newMedian(max(p.baseline, time.Millisecond))
+}
+
 func (p *pool) takeRetryToken() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/core/routing/pool.go
+++ b/core/routing/pool.go
@@ -43,6 +43,7 @@
 type withdrawnEndpoint struct {
 	slowStartFrom time.Time
 	latency       quantile.Tracker
+	rest          rest
 	// ticks is the number of ticks since the endpoint was withdrawn.
 	ticks int
 }
@@ -144,11 +145,12 @@
 		e.slowStartFrom = time.Time{}
 	}
 
-	// An endpoint that reconnects keeps its latency estimate and starts no new slow
-	// start.
+	// An endpoint that reconnects keeps its latency estimate and its rest, and starts no
+	// new slow start.
 	if w, ok := p.withdrawn[a.Endpoint]; ok {
 		e.slowStartFrom = w.slowStartFrom
 		e.latency = w.latency
+		e.rest = w.rest
 		delete(p.withdrawn, a.Endpoint)
 	}
 
@@ -157,7 +159,7 @@
 
 	if !p.groups[g].out {
 		p.groups[g].wasInService = true
-		p.enable(i, stateActive)
+		p.readmit(now, i)
 	}
 }
 
@@ -239,6 +241,7 @@
 	p.withdrawn[name] = withdrawnEndpoint{
 		slowStartFrom: e.slowStartFrom,
 		latency:       e.latency,
+		rest:          e.rest,
 		ticks:         0,
 	}
 	p.free = append(p.free, i)
@@ -293,7 +296,8 @@
 	case silent && (e.state == stateActive || e.state == stateProbation):
 		p.disable(i, stateSilent)
 	case !silent && e.state == stateSilent:
-		p.enable(i, stateActive)
+		// A silence ends no rest, since a resting endpoint doesn't count as silent.
+		p.readmit(e.restUntil, i)
 	}
 }
 
@@ -325,7 +329,7 @@
 				e.slowStartFrom = now
 			}
 
-			p.enable(int32(i), stateActive)
+			p.readmit(now, int32(i))
 		}
 	}
 }
--- a/core/routing/routing_test.go
+++ b/core/routing/routing_test.go
@@ -194,6 +194,97 @@
 	}
 }
 
+// TestInterruptedRest checks that an endpoint whose rest or probation is cut short by
+// silence, an outage or a new session does not become Active by that.
+func TestInterruptedRest(t *testing.T) {
+	const (
+		rest  = 100 * time.Millisecond
+		later = 2 * time.Second
+	)
+
+	interruptions := map[string]func(*routing.Table, time.Time, bool){
+		"Silence": func(tab *routing.Table, _ time.Time, on bool) { tab.SetSilent("s", "e0", on) },
+		"Outage":  func(tab *routing.Table, now time.Time, on bool) { tab.SetOut(now, dataCentreName(0), on) },
+		"Session": func(tab *routing.Table, now time.Time, on bool) {
+			if on {
+				tab.Withdraw("s", "e0")
+
+				return
+			}
+
+			tab.Announce(now, routing.Announcement{
+				Service:    "s",
+				Endpoint:   "e0",
+				DataCentre: dataCentreName(0),
+				Slots:      slots,
+			})
+		},
+	}
+	tests := map[string]struct {
+		after time.Duration
+		want  string
+	}{
+		"Rest":      {rest, "Resting"},
+		"Probation": {later, "Probation"},
+	}
+
+	for kind, set := range interruptions {
+		for name, c := range tests {
+			t.Run(kind+name, func(t *testing.T) {
+				tab := newTable(4)
+				restFirst(t, tab)
+
+				now := start.Add(c.after)
+				tab.Tick(now)
+				assert.Equal(t, stateOf(tab, "e0"), c.want)
+
+				set(tab, now, true)
+				set(tab, now, false)
+				assert.Equal(t, stateOf(tab, "e0"), c.want)
+
+				tab.Tick(start.Add(later))
+				assert.Equal(t, stateOf(tab, "e0"), "Probation")
+			})
+		}
+	}
+}
+
+// restFirst makes the endpoint e0 rest from start.
+func restFirst(t *testing.T, tab *routing.Table) {
+	t.Helper()
+
+	for range 1000 {
+		c, err := tab.Choose(start, "s", nil)
+		assert.NilError(t, err)
+
+		kind := routing.ResultSuccess
+		if c.Endpoint == "e0" {
+			kind = routing.ResultFailure
+		}
+
+		tab.Done(start, c, routing.Result{
+			Kind:    kind,
+			Latency: 10 * time.Millisecond,
+		})
+
+		if stateOf(tab, "e0") == "Resting" {
+			return
+		}
+	}
+
+	t.Fatal("e0 does not rest")
+}
+
+func stateOf(tab *routing.Table, endpoint string) string {
+	for _, s := range tab.Status() {
+		if s.Endpoint == endpoint {
+			return s.State
+		}
+	}
+
+	return ""
+}
+
 // TestBudget checks the limit on retries while no request succeeds.
 func TestBudget(t *testing.T) {
 	tab := newTable(4)
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -163,13 +163,9 @@
 
 	switch r.ID.Kind {
 	case resource.KindDataCentre:
-		// A deleted data centre is drained like one that is out.
-		_, out := e.catalog.Get(outageID(r.ID.Name))
-		e.scheduler.SetDataCentre(now, r.ID.Name, out || r.Deleted)
-		e.routes.SetOut(now, r.ID.Name, out || r.Deleted)
+		e.applyDataCentre(now, r.ID.Name)
 	case resource.KindOutage:
-		e.scheduler.SetDataCentre(now, r.ID.Name, !r.Deleted)
-		e.routes.SetOut(now, r.ID.Name, !r.Deleted)
+		e.applyDataCentre(now, r.ID.Name)
 	case resource.KindTeam:
 		if t, ok := r.Spec.(*resource.Team); ok {
 			e.scheduler.SetTeam(r.ID.Name, sizeOf(t.MilliCores, t.MemoryMB, t.Accelerators))
@@ -184,6 +180,16 @@
 	}
 }
 
+// applyDataCentre tells routing and scheduling whether a data centre is out. One that is
+// not declared is drained like one that is out, also if its outage was deleted with it.
+func (e *Entry) applyDataCentre(now time.Time, name string) {
+	_, outage := e.catalog.Get(outageID(name))
+	_, declared := e.catalog.Get(dataCentreID(name))
+
+	e.scheduler.SetDataCentre(now, name, outage || !declared)
+	e.routes.SetOut(now, name, outage || !declared)
+}
+
 func dataCentreID(name string) resource.ID {
 	return resource.ID{
 		Kind: resource.KindDataCentre,
@@ -231,8 +237,9 @@
 	}
 }
 
-// apply commits a set of changes of an operator. A set that fits into one
-// transaction is applied as a whole or not at all.
+// apply commits a set of changes of an operator. A set of up to
+// maxChangesPerTransaction changes is applied as a whole or not at all; of a larger one
+// the error says how many were applied.
 func (e *Entry) apply(ctx context.Context, operatorName string, changes []catalog.Change, dryRun bool) ([]operator.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
@@ -256,6 +263,10 @@
 		part := changesOf(changes, plan.After[first:min(first+maxChangesPerTransaction, len(plan.After))])
 
 		committed, err := e.commitChanges(ctx, operatorName, part)
+		if err != nil && first > 0 {
+			return nil, fmt.Errorf("the first %d of %d changes are applied, the others not: %w", first, len(plan.After), err)
+		}
+
 		if err != nil {
 			return nil, err
 		}
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -19,16 +19,14 @@
 
 // permitRequest is an agent's request to start an attempt of a task.
 type permitRequest struct {
-	session    *peer.Session
-	message    *peerpb.PermitRequest
-	receivedAt time.Time
+	session *peer.Session
+	message *peerpb.PermitRequest
 }
 
 func (e *Entry) onPermitRequest(s *peer.Session, r *peerpb.PermitRequest) {
 	p := permitRequest{
-		session:    s,
-		message:    r,
-		receivedAt: time.Now(),
+		session: s,
+		message: r,
 	}
 
 	select {
--- a/entry/sessions.go
+++ b/entry/sessions.go
@@ -159,6 +159,8 @@
 		EntryAddresses: e.entryAddresses(),
 	}}})
 	if err != nil {
+		e.sessions.remove(s)
+
 		return fmt.Errorf("send welcome: %w", err)
 	}
 
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -183,6 +183,8 @@
 		h.entries[i].callerAddress = ip + ":8080"
 	}
 
+	h.storeAddress, _ = h.serveStore()
+
 	for i := range agents {
 		h.startWorker(network, i)
 	}
--- a/internal/cmd/cmd_check.go
+++ b/internal/cmd/cmd_check.go
@@ -73,6 +73,8 @@
 		_, err = settings.ParseEntry(file, data)
 	case bytes.Contains(data, []byte("[Agent]")):
 		_, err = settings.ParseAgent(file, data)
+	case bytes.Contains(data, []byte("[Node]")):
+		err = checkNode(file, data)
 	default:
 		return false, nil
 	}
@@ -80,6 +82,21 @@
 	return true, err
 }
 
+// checkNode checks the settings of trefoildeck-node: those of an agent, which has a worker,
+// or of an entry.
+func checkNode(file string, data []byte) error {
+	n, err := settings.ParseNode(file, data)
+	if err != nil {
+		return err
+	}
+
+	if bytes.Contains(data, []byte("[Worker]")) {
+		return n.CheckAgent(file)
+	}
+
+	return n.CheckEntry(file)
+}
+
 // checkDeclarations checks declarations as one set, without any resources that an
 // entry already has.
 func checkDeclarations(paths []string) error {
--- a/internal/cmd/commands_test.go
+++ b/internal/cmd/commands_test.go
@@ -24,6 +24,8 @@
 		"no such file":      {[]string{"check", "none.ini"}, 1},
 		"samples":           {[]string{"check", "../../examples/balisage-armor/declarations"}, 0},
 		"sample settings":   {[]string{"check", "../../examples/sillas-del-valle/entry-1.ini"}, 0},
+		"node settings":     {[]string{"check", "testdata/agent.ini"}, 0},
+		"invalid node":      {[]string{"check", "testdata/agent_invalid.ini"}, 1},
 		"entry not there":   {[]string{"get", "-entry", "http://127.0.0.1:1", "-token-file", "../../examples/balisage-armor/token", "Job"}, 1},
 	}
 
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -100,8 +100,26 @@
 	wg              sync.WaitGroup
 }
 
-// Start starts a deployment and waits until the table and the entries listen.
+// Start starts a deployment and waits until the table and the entries listen. If it fails,
+// it leaves nothing running.
 func Start(o Options) (*Deployment, error) {
+	d, err := newDeployment(o)
+	if err != nil {
+		return nil, err
+	}
+
+	for _, start := range []func() error{d.startStandins, d.startEntries, d.startAgents} {
+		if err := start(); err != nil {
+			d.Stop()
+
+			return nil, err
+		}
+	}
+
+	return d, nil
+}
+
+func newDeployment(o Options) (*Deployment, error) {
 	dir, err := os.MkdirTemp("", "trefoildeck-")
 	if err != nil {
 		return nil, fmt.Errorf("create temporary directory: %w", err)
@@ -111,6 +129,8 @@
 		options:    o,
 		dir:        dir,
 		secretFile: filepath.Join(dir, "secret"),
+
+		stopStandins: func() {},
 	}
 
 	if err := os.WriteFile(d.secretFile, []byte("secret"), 0o600); err != nil {
@@ -121,15 +141,7 @@
 		d.options.Proxy = func(_, _ string, a netip.AddrPort) netip.AddrPort { return a }
 	}
 
-	if err := d.startStandins(); err != nil {
-		return nil, err
-	}
-
-	if err := d.startEntries(); err != nil {
-		return nil, err
-	}
-
-	return d, d.startAgents()
+	return d, nil
 }
 
 // Stop stops all processes and removes the temporary directory.
--- a/internal/nodecmd/nodecmd.go
+++ b/internal/nodecmd/nodecmd.go
@@ -102,7 +102,13 @@
 		}
 
 		_, err := settings.LoadNode(p.file)
-		log.Info("Reloaded", jsonlog.Error(err))
+		if err != nil {
+			log.Warn("SettingsInvalid", jsonlog.Error(err))
+
+			continue
+		}
+
+		log.Info("SettingsChecked", zap.String("Effect", "at the next start"))
 	}
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -74,6 +74,8 @@
 var (
 	// ErrKeyReused says that the key was used before for a different request.
 	ErrKeyReused = eris.New("the idempotency key was used for another request")
+	// ErrKeyedTooLarge says that the body is too large to be compared with that of a repeat.
+	ErrKeyedTooLarge = eris.New("the body of a request with an idempotency key may have up to 65536 bytes")
 	// ErrKeyUnavailable says that the key could not be recorded.
 	ErrKeyUnavailable = eris.New("idempotency keys can't be recorded now")
 	// ErrKeyPending says that the outcome of the first request with the key is not
@@ -265,6 +267,13 @@
 		return
 	}
 
+	// Requests with one key are told apart by their whole bodies.
+	if !q.policy.Replayable {
+		h.finish(w, q, routing.OutcomeRefused, http.StatusRequestEntityTooLarge, ErrKeyedTooLarge.Error())
+
+		return
+	}
+
 	claim, err := h.Claim(ctx, q.service, q.key, fingerprint(q))
 
 	switch {
--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -273,6 +273,35 @@
 	}
 }
 
+// TestKeyedBody checks that a request with a key runs only if its whole body was compared
+// with that of the first request with the key.
+func TestKeyedBody(t *testing.T) {
+	tests := map[string]struct {
+		bytes    int
+		status   int
+		attempts int
+	}{
+		"Whole":    {64<<10 - 1, http.StatusOK, 1},
+		"TooLarge": {64<<10 + 1, http.StatusRequestEntityTooLarge, 0},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := &agents{replies: []reply{answered("a")}}
+			s := serve(t, a, func(h *caller.Handler) {
+				h.Claim = func(context.Context, string, string, string) (caller.Claim, error) {
+					return caller.Claim{Complete: func(caller.StoredAnswer) {}}, nil
+				}
+			})
+
+			res, _, err := send(t, http.MethodPost, s.URL+"/services/booking/x", strings.Repeat("x", c.bytes), http.Header{caller.HeaderIdempotencyKey: {"k"}})
+			assert.NilError(t, err)
+			assert.Equal(t, res.StatusCode, c.status)
+			assert.Equal(t, a.count(), c.attempts)
+		})
+	}
+}
+
 // TestStreams sends a body that is too large to be buffered to the endpoint and
 // back.
 func TestStreams(t *testing.T) {
--- a/io/caller/exchange.go
+++ b/io/caller/exchange.go
@@ -415,8 +415,7 @@
 }
 
 // fingerprint is a hash by which requests with the same idempotency key are told
-// apart. Of the body it covers what was read before the first attempt, up to
-// maxReplayableBytes.
+// apart. It covers the body, which must have been read as a whole.
 func fingerprint(q *request) string {
 	sum := sha256.New()
 	for _, part := range [][]byte{[]byte(q.head.GetMethod()), []byte(q.head.GetTarget()), q.head.GetData()} {
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -32,7 +32,8 @@
 	Token string
 }
 
-// Apply applies a set of declared resources, all or none. A dry run only returns
+// Apply applies a set of declared resources: all or none of up to 49, and of more in parts
+// of 49. A dry run only returns
 // the results.
 func (c *Client) Apply(ctx context.Context, list []resource.Resource, dryRun bool) ([]ResultView, error) {
 	declared := make([]Declared, 0, len(list))
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -356,7 +356,7 @@
 
 	switch {
 	case errors.As(err, &problems), errors.Is(err, resource.ErrUnknownKind), errors.Is(err, errBadETag),
-		errors.Is(err, errBadBody):
+		errors.Is(err, errBadBody), errors.Is(err, catalog.ErrChangedTwice):
 		status = http.StatusBadRequest
 	case errors.Is(err, errTooLarge):
 		status = http.StatusRequestEntityTooLarge
--- a/io/operator/types.go
+++ b/io/operator/types.go
@@ -11,7 +11,7 @@
 //	GET    /resources/{Kind}/{Name}      get one, with ETag
 //	PUT    /resources/{Kind}/{Name}      create or change; If-Match, If-None-Match: *
 //	DELETE /resources/{Kind}/{Name}      delete; If-Match
-//	POST   /apply?DryRun=true            apply a set of declarations, all or none
+//	POST   /apply?DryRun=true            apply a set of declarations, all or none of up to 49
 //	GET    /watch?Kind=…&Name=…          stream state changes, a JSON line each
 //	GET    /audit?Kind=…&Name=…          list the audit trail
 package operator
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -11,10 +11,12 @@
 
 // Outcomes of a store call that a peer made. The outcome is empty for success.
 const (
-	outcomeConflict    = "Conflict"
-	outcomeUnknown     = "Unknown"
-	outcomeHistoryLost = "HistoryLost"
-	outcomeRefused     = "Refused"
+	outcomeConflict = "Conflict"
+	// outcomeConflictOnly says that the rows in conflict are not known.
+	outcomeConflictOnly = "ConflictOnly"
+	outcomeUnknown      = "Unknown"
+	outcomeHistoryLost  = "HistoryLost"
+	outcomeRefused      = "Refused"
 )
 
 // EncodeTransaction encodes a transaction as a call.
@@ -76,7 +78,7 @@
 		m.Outcome = outcomeConflict
 		m.Rows = encodeRows(conflict.Rows)
 	case errors.Is(err, rows.ErrConflict):
-		m.Outcome = outcomeUnknown
+		m.Outcome = outcomeConflictOnly
 	case errors.Is(err, rows.ErrUnknown):
 		m.Outcome = outcomeUnknown
 	case errors.Is(err, rows.ErrHistoryLost):
@@ -105,6 +107,8 @@
 		return p, nil
 	case outcomeConflict:
 		return rows.Page{}, &rows.Conflict{Rows: p.Rows}
+	case outcomeConflictOnly:
+		return rows.Page{}, rows.ErrConflict
 	case outcomeHistoryLost:
 		return rows.Page{}, rows.ErrHistoryLost
 	case outcomeRefused:
