End only the session or row that a malformed message came from

A row with a negative count made it panic (makeslice: len out of range), and so did each leader after it, as each reads the same row: no job of any caller would have been scheduled again. Nothing in a process recovered from a panic in the handler of a frame, a request of a stream or a row of a feed.

Change: rows are checked as submissions are, and logged as JobUnreadable; package guard turns a panic into an error at each session's frames and request streams (the session or stream ends, with the stack in PeerLost or NodeUnreachable), at each row of a feed (RowNotHandled, ResourceNotApplied) and in the leader's loop (it loses its lease). The functions that are guarded release their locks with defer, for which the scheduling pass became a function of its own. The loop over a worker's listings is not guarded: it holds its lock over calls, and a crash is better there than a lock that is never released.

Parameters of core/placement that became unused are gone.

--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"trefoildeck/internal/guard"
 	"trefoildeck/internal/jsonlog"
 	"trefoildeck/io/rows"
 	"trefoildeck/platform"
@@ -64,7 +65,7 @@
 				after = max(after, p.Version)
 
 				for _, r := range p.Rows {
-					row(r)
+					c.guarded("RowNotHandled", func() { row(r) })
 				}
 			}
 		}
@@ -82,6 +83,18 @@
 	return nil
 }
 
+// guarded calls f, which handles one row or message. It logs a panic of f as event.
+func (c *Coordinator) guarded(event string, f func()) {
+	err := guard.Call(func() error {
+		f()
+
+		return nil
+	})
+	if err != nil {
+		c.log.Error(event, jsonlog.Error(err))
+	}
+}
+
 // applyOperatorRow applies a configuration that is newer than the one in force, or takes
 // a data centre out of service or back.
 func (c *Coordinator) applyOperatorRow(r rows.Row) {
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -13,6 +13,7 @@
 	"trefoildeck/core/fleet"
 	"trefoildeck/core/job"
 	"trefoildeck/core/lease"
+	"trefoildeck/internal/guard"
 	"trefoildeck/internal/jsonlog"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
@@ -104,7 +105,7 @@
 	group, work := errgroup.WithContext(work)
 
 	group.Go(func() error { return l.renew(work) })
-	group.Go(func() error { return l.run(work, group) })
+	group.Go(func() error { return guard.Call(func() error { return l.run(work, group) }) })
 	group.Go(func() error {
 		select {
 		case <-work.Done():
@@ -384,6 +385,16 @@
 	}
 
 	record.ID = r.Key
+
+	// A spec that no entry would have accepted must not stop one leader after the other.
+	if !job.ValidID(record.ID) {
+		return job.Record{}, 0, fmt.Errorf("decode job: id %q: %w", record.ID, job.ErrInvalid)
+	}
+
+	if err := job.Check(record.Spec); err != nil {
+		return job.Record{}, 0, fmt.Errorf("decode job: %w", err)
+	}
+
 	now, _ := l.c.storeNow()
 
 	return record, max(0, now-record.Accepted), nil
@@ -474,29 +485,38 @@
 			continue
 		}
 
-		l.mu.Lock()
-		now := l.c.now()
-		orders := l.fleet.Schedule(now, time.Now())
-		l.dispatch(orders)
-		next := l.fleet.NextWake(now)
-		changed := l.fleet.Changed()
-
-		for _, r := range l.fleet.Quarantines() {
-			l.c.log.Warn("WorkerRests", zap.String("Worker", r.Node), zap.Int("Failures", r.Failures), zap.Duration("For", r.Duration))
-		}
-		for _, s := range l.fleet.Stalls() {
-			l.c.log.Warn("TaskStalled", zap.String("Job", s.Task.Job), zap.Stringer("Task", s.Task), zap.String("Node", s.Node))
+		if wait := l.pass(); wait > 0 {
+			timer.Reset(wait)
 		}
-		l.mu.Unlock()
+	}
+}
 
-		if changed {
-			notify(l.flush)
-		}
+// pass runs a scheduling pass. It returns the time until the next one, or 0 if only a
+// change requires one.
+func (l *leader) pass() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 
-		if next > 0 {
-			timer.Reset(next - now)
-		}
+	now := l.c.now()
+	l.dispatch(l.fleet.Schedule(now, time.Now()))
+
+	for _, r := range l.fleet.Quarantines() {
+		l.c.log.Warn("WorkerRests", zap.String("Worker", r.Node), zap.Int("Failures", r.Failures), zap.Duration("For", r.Duration))
+	}
+
+	for _, s := range l.fleet.Stalls() {
+		l.c.log.Warn("TaskStalled", zap.String("Job", s.Task.Job), zap.Stringer("Task", s.Task), zap.String("Node", s.Node))
+	}
+
+	if l.fleet.Changed() {
+		notify(l.flush)
 	}
+
+	if next := l.fleet.NextWake(now); next > 0 {
+		return next - now
+	}
+
+	return 0
 }
 
 // dispatch sends orders to the nodes. The caller holds l.mu.
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -207,17 +207,17 @@
 		})
 	case *peerpb.Frame_Written:
 		// applyJobRow locks l.mu, which is held here.
-		go l.applyJobRow(peer.DecodeWrittenRow(b.Written))
+		go l.c.guarded("RowNotHandled", func() { l.applyJobRow(peer.DecodeWrittenRow(b.Written)) })
 	case *peerpb.Frame_Query:
 		q := b.Query
 		// answerQuery locks l.mu, which is held here.
-		go func() {
+		go l.c.guarded("QueryNotAnswered", func() {
 			a := l.answerQuery(q)
 
 			l.mu.Lock()
 			defer l.mu.Unlock()
 			n.send(&peerpb.Frame{Body: &peerpb.Frame_QueryAnswer{QueryAnswer: a}})
-		}()
+		})
 	default:
 	}
 }
--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 )
 
 // maxBatchRows is the maximum number of rows in a batch. The transaction has one
@@ -166,7 +165,7 @@
 // ApplyResult applies the result of a batch. Unless the batch was written, its rows
 // become stale, its ends are queued again, and the shard has no further batch until
 // the rows are reloaded.
-func (s *Scheduler) ApplyResult(now time.Time, b *Batch, result Result) {
+func (s *Scheduler) ApplyResult(b *Batch, result Result) {
 	h := b.shard
 	h.inFlight = false
 
@@ -199,11 +198,11 @@
 		return
 	}
 
-	s.applyWritten(now, b)
+	s.applyWritten(b)
 }
 
 // applyWritten makes the rows of a written batch the current ones.
-func (s *Scheduler) applyWritten(now time.Time, b *Batch) {
+func (s *Scheduler) applyWritten(b *Batch) {
 	h := b.shard
 
 	for _, n := range sortedKeys(b.Pages) {
@@ -221,7 +220,7 @@
 		c.Version++
 
 		if g := s.segment(k); g != nil {
-			s.setSegment(now, g, c)
+			s.setSegment(g, c)
 		}
 	}
 
@@ -289,7 +288,7 @@
 
 // ApplyReloaded replaces stale rows by those read from the table. A row that does
 // not exist is passed with its key and version zero.
-func (s *Scheduler) ApplyReloaded(now time.Time, dataCentre string, pages []*Page, segments []*Segment) {
+func (s *Scheduler) ApplyReloaded(dataCentre string, pages []*Page, segments []*Segment) {
 	h, ok := s.shards[dataCentre]
 	if !ok {
 		return
@@ -305,7 +304,7 @@
 		delete(h.stale.segments, c.Key())
 
 		if g := s.segment(c.Key()); g != nil {
-			s.setSegment(now, g, c)
+			s.setSegment(g, c)
 		}
 	}
 
--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -93,7 +93,7 @@
 	}
 
 	for _, b := range c.Batches {
-		f.core.ApplyResult(f.now, b, placement.ResultWritten)
+		f.core.ApplyResult(b, placement.ResultWritten)
 	}
 
 	placed := 0
@@ -115,7 +115,7 @@
 func (f *fakeCluster) submitTasks(tasks int) {
 	for ; tasks > 0; tasks -= 2000 {
 		f.jobs++
-		f.core.SetJob(f.now, placement.JobSpec{
+		f.core.SetJob(placement.JobSpec{
 			Key:     fmt.Sprintf("j%d@1", f.jobs),
 			Name:    fmt.Sprintf("j%d", f.jobs),
 			Team:    fmt.Sprintf("t%d", f.jobs%510),
--- a/core/placement/histories_test.go
+++ b/core/placement/histories_test.go
@@ -162,7 +162,7 @@
 
 				first = false
 
-				s.core.ApplyResult(time.Now(), b, placement.ResultRejected)
+				s.core.ApplyResult(b, placement.ResultRejected)
 
 				_, keys := s.core.StaleRows(b.DataCentre)
 				sorted = max(sorted, len(keys))
--- a/core/placement/jobs.go
+++ b/core/placement/jobs.go
@@ -73,7 +73,7 @@
 
 // SetJob adds a job with its recorded segments, or updates one that is known.
 // Segments that have no row yet are missing from recorded.
-func (s *Scheduler) SetJob(now time.Time, spec JobSpec, recorded []*Segment) {
+func (s *Scheduler) SetJob(spec JobSpec, recorded []*Segment) {
 	j, ok := s.jobs[spec.Key]
 	if ok {
 		j.spec.Cancelled = j.spec.Cancelled || spec.Cancelled
@@ -84,12 +84,12 @@
 
 	for _, c := range recorded {
 		if c.Number < len(j.segments) && c.Version >= j.segments[c.Number].record.Version {
-			s.setSegment(now, j.segments[c.Number], c)
+			s.setSegment(j.segments[c.Number], c)
 		}
 	}
 
 	for _, g := range j.segments {
-		s.setSegment(now, g, g.record)
+		s.setSegment(g, g.record)
 	}
 }
 
@@ -142,7 +142,7 @@
 
 // setSegment replaces the in-memory copy of a segment by the recorded one. A
 // segment without tasks has no row; all its tasks are pending.
-func (s *Scheduler) setSegment(now time.Time, g *segmentInfo, c *Segment) {
+func (s *Scheduler) setSegment(g *segmentInfo, c *Segment) {
 	if len(c.Tasks) == 0 {
 		c.Tasks = newJob(g.job.spec).segments[c.Number].record.Tasks
 	}
--- a/core/placement/scheduler.go
+++ b/core/placement/scheduler.go
@@ -11,12 +11,12 @@
 // # Usage
 //
 //	s := placement.New(options)
-//	s.SetJob(now, spec, segments) // all declared jobs, before TakeShard
+//	s.SetJob(spec, segments) // all declared jobs, before TakeShard
 //	s.TakeShard(now, "dc1", epoch, pages)
 //	s.Heartbeat(now, report)
 //	commands := s.Tick(now)
 //	// commit commands.Batches, send commands.Starts and commands.Stops, then
-//	s.ApplyResult(now, batch, placement.ResultWritten)
+//	s.ApplyResult(batch, placement.ResultWritten)
 //
 // A Scheduler is not safe for concurrent use.
 package placement
--- a/core/placement/world_test.go
+++ b/core/placement/world_test.go
@@ -185,7 +185,7 @@
 func (w *world) declare(spec placement.JobSpec) {
 	w.specs[spec.Key] = spec
 	for _, s := range w.schedulers {
-		s.core.SetJob(time.Now(), spec, nil)
+		s.core.SetJob(spec, nil)
 	}
 }
 
@@ -205,7 +205,7 @@
 
 	for _, key := range slices.Sorted(maps.Keys(w.specs)) {
 		if !w.deletedJobs[key] {
-			s.core.SetJob(time.Now(), w.specs[key], nil)
+			s.core.SetJob(w.specs[key], nil)
 		}
 	}
 
@@ -396,7 +396,7 @@
 
 	for _, key := range slices.Sorted(maps.Keys(w.specs)) {
 		if !w.deletedJobs[key] {
-			s.core.SetJob(now, w.specs[key], w.segments(key))
+			s.core.SetJob(w.specs[key], w.segments(key))
 		}
 	}
 
@@ -439,7 +439,7 @@
 		result = placement.ResultUnknown
 	}
 
-	s.core.ApplyResult(time.Now(), b, result)
+	s.core.ApplyResult(b, result)
 
 	if result != placement.ResultWritten {
 		w.delay(func() { w.reload(s, b.DataCentre) })
@@ -500,7 +500,7 @@
 		segments = append(segments, c)
 	}
 
-	s.core.ApplyReloaded(time.Now(), d, pages, segments)
+	s.core.ApplyReloaded(d, pages, segments)
 }
 
 func (w *world) stepWorker(k *fakeWorker) {
--- a/entry/feed.go
+++ b/entry/feed.go
@@ -10,6 +10,7 @@
 
 	"trefoildeck/core/catalog"
 	"trefoildeck/core/resource"
+	"trefoildeck/internal/guard"
 	"trefoildeck/io/operator"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
@@ -147,7 +148,15 @@
 
 	for _, r := range changed {
 		e.log.Info("ResourceAccepted", zap.Stringer("Resource", r.ID), zap.Int64("Revision", r.Revision), zap.Bool("Deleted", r.Deleted))
-		e.applyResource(r)
+
+		err := guard.Call(func() error {
+			e.applyResource(r)
+
+			return nil
+		})
+		if err != nil {
+			e.log.Error("ResourceNotApplied", zap.Stringer("Resource", r.ID), zap.Error(err))
+		}
 	}
 
 	e.broadcast(changed)
@@ -175,7 +184,7 @@
 			e.scheduler.SetService(r.ID.Name, s.LatencyTarget)
 		}
 	case resource.KindJob:
-		e.applyJob(now, r)
+		e.applyJob(r)
 	case resource.KindConfiguration:
 	}
 }
--- a/entry/leases.go
+++ b/entry/leases.go
@@ -306,7 +306,7 @@
 	}
 
 	for _, j := range jobs {
-		e.scheduler.SetJob(now, j.spec, j.segments)
+		e.scheduler.SetJob(j.spec, j.segments)
 	}
 
 	e.scheduler.TakeShard(now, dataCentre, epoch, pages)
--- a/entry/scheduling.go
+++ b/entry/scheduling.go
@@ -36,7 +36,7 @@
 
 // applyJob adds a job to the scheduler and cancels earlier jobs of its name, or all
 // of them if the job was deleted. The caller must hold mu.
-func (e *Entry) applyJob(now time.Time, r resource.Resource) {
+func (e *Entry) applyJob(r resource.Resource) {
 	for _, key := range e.scheduler.JobKeys(r.ID.Name) {
 		if r.Deleted || key != jobKey(r.ID.Name, r.Revision) {
 			e.scheduler.CancelJob(key)
@@ -44,7 +44,7 @@
 	}
 
 	if j, ok := r.Spec.(*resource.Job); ok {
-		e.scheduler.SetJob(now, jobSpec(r, j), nil)
+		e.scheduler.SetJob(jobSpec(r, j), nil)
 	}
 }
 
@@ -126,7 +126,7 @@
 	result := e.writeBatch(ctx, b)
 
 	e.mu.Lock()
-	e.scheduler.ApplyResult(time.Now(), b, result)
+	e.scheduler.ApplyResult(b, result)
 	e.mu.Unlock()
 
 	if result == placement.ResultWritten {
@@ -195,7 +195,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 
-	e.scheduler.ApplyReloaded(time.Now(), dataCentre, pages, segments)
+	e.scheduler.ApplyReloaded(dataCentre, pages, segments)
 
 	return nil
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"time"
 
+	"trefoildeck/internal/guard"
 	"trefoildeck/io/peer/peerpb"
 
 	"github.com/hashicorp/yamux"
@@ -137,7 +138,16 @@
 	defer r.Close()
 
 	for r.next() {
-		l.OnRequest(ctx, r)
+		err := guard.Call(func() error {
+			l.OnRequest(ctx, r)
+
+			return nil
+		})
+		if err != nil {
+			l.OnError(fmt.Errorf("serve request: %w", err))
+
+			return
+		}
 	}
 }
 
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"trefoildeck/internal/guard"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
 
@@ -228,6 +229,76 @@
 	}
 }
 
+// TestPanickingHandlers checks that a panic in the handler of a frame or of a request ends
+// only the session or the stream that it came from, with an error that has the panic.
+func TestPanickingHandlers(t *testing.T) {
+	p := connect(t, func(_ context.Context, r *peer.RequestStream) {
+		head, err := r.ReadHead()
+		if err != nil {
+			return
+		}
+
+		if head.GetID() == "bad" {
+			panic("bad request")
+		}
+
+		assert.Check(t, r.Answer(&peerpb.AnswerHead{ID: head.GetID(), Last: true}) == nil)
+	})
+
+	_, err := p.session.Call(t.Context(), request("bad", nil, true), nil)
+	assert.ErrorIs(t, err, peer.ErrAnswerLost)
+
+	_, err = p.session.Call(t.Context(), request("good", nil, true), nil)
+	assert.NilError(t, err)
+
+	opened, failed := make(chan *peer.Session, 2), make(chan error, 1)
+	address := serve(t, &peer.Server{
+		OnOpen: func(s *peer.Session) error {
+			opened <- s
+
+			return nil
+		},
+		OnFrame: func(s *peer.Session, _ *peerpb.Frame) { panic("bad frame of " + s.Hello.GetName()) },
+		OnClose: func(*peer.Session) {},
+		OnError: func(_ string, err error) { failed <- err },
+	})
+
+	sessions := make(chan *peer.Session, 2)
+
+	for _, name := range []string{"a", "b"} {
+		link := &peer.Link{
+			Address: address,
+			Hello:   func() *peerpb.Hello { return &peerpb.Hello{Name: name} },
+			OnOpen:  func(s *peer.Session) { sessions <- s },
+			OnFrame: func(*peer.Session, *peerpb.Frame) {},
+			OnClose: func(*peer.Session) {},
+			OnError: func(error) {},
+		}
+
+		go link.Run(t.Context())
+	}
+
+	accepted := map[string]*peer.Session{}
+	for range cap(opened) {
+		one := <-opened
+		accepted[one.Hello.GetName()] = one
+	}
+
+	bad, good := <-sessions, <-sessions
+	assert.NilError(t, bad.Send(&peerpb.Frame{Body: &peerpb.Frame_Ping{Ping: &peerpb.Ping{}}}))
+
+	err = <-failed
+	assert.ErrorIs(t, err, guard.ErrPanic)
+	assert.ErrorContains(t, err, "bad frame of "+bad.Hello.GetName())
+	<-bad.Done()
+
+	select {
+	case <-accepted[good.Hello.GetName()].Done():
+		t.Fatal("the other session ended too")
+	default:
+	}
+}
+
 // FuzzControl writes bytes to the control stream of a session and closes it. It
 // checks that the server ends the session with an error, whatever the bytes are.
 func FuzzControl(f *testing.F) {
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"trefoildeck/internal/guard"
 	"trefoildeck/io/peer/peerpb"
 
 	"github.com/hashicorp/yamux"
@@ -119,7 +120,15 @@
 		}
 
 		s.lastFrameAt.Store(time.Now().UnixNano())
-		onFrame(s, &f)
+
+		err := guard.Call(func() error {
+			onFrame(s, &f)
+
+			return nil
+		})
+		if err != nil {
+			return fmt.Errorf("handle frame: %w", err)
+		}
 	}
 }
 
--- /dev/null
+++ b/sidecar/malformed_test.go
@@ -0,0 +1,79 @@
+package sidecar
+
+import (
+	"testing"
+
+	"trefoildeck/core/gate"
+	"trefoildeck/core/job"
+	"trefoildeck/io/peer/peerpb"
+	"trefoildeck/settings"
+	"trefoildeck/standin/emulator"
+
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+)
+
+// FuzzOrders passes frames of a leader to a sidecar whose worker lists a run and an end. None
+// may make it panic.
+func FuzzOrders(f *testing.F) {
+	task := job.TaskID{Job: "00000000000000aa"}
+	order := &peerpb.StartOrder{
+		Task:    task.String(),
+		Attempt: 1,
+		Size:    &peerpb.TaskSize{MilliCores: 1},
+	}
+
+	for _, m := range []*peerpb.Frame{
+		{Body: &peerpb.Frame_Orders{Orders: &peerpb.Orders{
+			WorkerID: "i-1",
+			Adopted:  []*peerpb.StartOrder{order},
+			Stops:    []*peerpb.StopOrder{{Task: task.String(), Attempt: 1}},
+		}}},
+		{Body: &peerpb.Frame_Recorded{Recorded: &peerpb.Recorded{WorkerID: "i-1", Number: 3}}},
+		{Body: &peerpb.Frame_Estimates{Estimates: &peerpb.Estimates{List: []*peerpb.Estimate{{Filling: "a", Serving: "b"}}}}},
+		{Body: &peerpb.Frame_Pong{Pong: &peerpb.Pong{Number: 1}}},
+	} {
+		data, err := proto.Marshal(m)
+		assert.NilError(f, err)
+		f.Add(data)
+	}
+
+	f.Fuzz(func(_ *testing.T, frame []byte) {
+		var m peerpb.Frame
+		if proto.Unmarshal(frame, &m) != nil {
+			return
+		}
+
+		// Starts and stops are goroutines that call the worker, so that orders are decoded
+		// and adopted, but not carried out.
+		if o := m.GetOrders(); o != nil {
+			o.Starts, o.Stops = nil, nil
+		}
+
+		s := New(settings.Node{}, emulator.NewRowStore().Store(), zap.NewNop())
+		s.handleAnnouncement(gate.Announcement{Incarnation: gate.Incarnation{ID: "i-1"}})
+
+		s.gate.RaiseToken(0)
+		s.gate.HandleListing(0, 0, s.gate.Token, gate.Listing{
+			Incarnation: gate.Incarnation{ID: "i-1"},
+			Running: []gate.Run{{
+				Task:    task,
+				Attempt: 1,
+			}},
+			Ended: []gate.End{{
+				Number:  7,
+				Task:    task,
+				Attempt: 2,
+				Reason:  gate.Done,
+			}},
+		})
+
+		s.handleFrame(nil, &m)
+
+		s.learner.Observe(s.gate.Sample(0))
+		s.gate.Pace(s.gate.Sample(0), s.learner)
+		s.sendFullReport()
+		s.sendStatus()
+	})
+}
