Test paused processes, hand-overs and withdrawn entries on the emulated platform

From outside, with signals and the emulator: a leader and an agent that are paused for 7 s, longer than any lease or authorization (TestHostedPaused); the lease changing hands by pauses, SIGTERM and SIGKILL in turn while workers carry out every seventh order 1.5 s late (TestHostedHandOver); a route that was withdrawn and a data centre that is out, after all processes were killed and the store's history dropped (TestHostedWithdrawn).

Finding: TestHostedPaused/Agent failed at first: "attempt 1 on i-1: its success was acknowledged after the task had started again", twice. The runs had ended while the agent was paused, the lease of the worker expired 1 s before the agent went on, and the leader, which had waited for that, had placed the tasks elsewhere.

--- /dev/null
+++ b/integration/platform_authority_test.go
@@ -0,0 +1,160 @@
+package integration_test
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"trefoildeck/core/job"
+	"trefoildeck/io/rows"
+	"trefoildeck/standin/emulator"
+
+	"gotest.tools/v3/assert"
+)
+
+// pauseTime is longer than any lease or authorization of the processes: 6.4 s at most.
+const pauseTime = 7 * time.Second
+
+// planRuns sets the run time of all tasks.
+func (h *hosted) planRuns(d time.Duration) {
+	for _, w := range h.workers {
+		w.PlanRun = func(job.TaskID, int) emulator.RunPlan {
+			return emulator.RunPlan{
+				Duration:  d,
+				EndReason: "done",
+			}
+		}
+	}
+}
+
+// TestHostedPaused checks that a process that was paused for longer than its lease or
+// authorization doesn't act on it afterwards, that its work goes on elsewhere, and that
+// what runs on the worker of a paused agent is neither started twice nor lost.
+func TestHostedPaused(t *testing.T) {
+	t.Parallel()
+
+	tests := map[string]struct {
+		network int
+		pick    func(*hosted) *hostedProcess
+	}{
+		"Leader": {41, func(h *hosted) *hostedProcess { return h.entries[h.leader()] }},
+		"Agent":  {42, func(h *hosted) *hostedProcess { return h.agents[0] }},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			h := startHosted(t, c.network, 3, 3)
+			h.planRuns(400 * time.Millisecond)
+
+			ids := []string{h.submit(dependentSteps()...), h.submit(dependentSteps()...)}
+			h.awaitState("running", ids...)
+
+			p := c.pick(h)
+			assert.NilError(t, p.command.Process.Signal(syscall.SIGSTOP))
+
+			for end := time.Now().Add(pauseTime); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+				ids = append(ids, h.submit(dependentSteps()...))
+			}
+
+			assert.NilError(t, p.command.Process.Signal(syscall.SIGCONT))
+			h.awaitState("succeeded", ids...)
+			h.checkViolations()
+		})
+	}
+}
+
+// TestHostedHandOver checks that no task runs twice while the lease changes hands again and
+// again, between processes that are asked to end, are killed or are paused in turn, and
+// while workers carry out orders late.
+func TestHostedHandOver(t *testing.T) {
+	t.Parallel()
+
+	h := startHosted(t, 43, 3, 3)
+	h.planRuns(300 * time.Millisecond)
+
+	for i, w := range h.workers {
+		orders := i
+
+		w.LoseAnswer = func(string) (bool, time.Duration) {
+			orders++
+
+			return orders%7 == 0, 1500 * time.Millisecond
+		}
+	}
+
+	ids := []string{h.submit(dependentSteps()...)}
+
+	for _, change := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGTERM, syscall.SIGSTOP, syscall.SIGKILL} {
+		h.awaitAnyLeader()
+
+		p := h.entries[h.leader()]
+		assert.NilError(t, p.command.Process.Signal(change))
+
+		for range 10 {
+			ids = append(ids, h.submit(dependentSteps()...))
+			time.Sleep(300 * time.Millisecond)
+		}
+
+		if change == syscall.SIGSTOP {
+			assert.NilError(t, p.command.Process.Signal(syscall.SIGCONT))
+
+			continue
+		}
+
+		// The error says how the process ended.
+		_ = p.command.Wait()
+
+		h.start(p)
+	}
+
+	h.awaitState("succeeded", ids...)
+	h.checkViolations()
+}
+
+// TestHostedWithdrawn checks that what the operator withdrew does not come back when all
+// processes restart and the store's history is gone: neither a route, nor a data centre
+// that is out of service.
+func TestHostedWithdrawn(t *testing.T) {
+	t.Parallel()
+
+	h := startHosted(t, 44, 2, 2)
+	h.awaitState("succeeded", h.submit(dependentSteps()...))
+
+	withdrawn := versionPrefix(1)
+	status, _ := h.callPath(0, http.MethodGet, withdrawn, nil)
+	assert.Equal(t, status, http.StatusOK)
+
+	h.configure(2)
+
+	outage := rows.Row{
+		Table: "op",
+		Key:   "evacuate/lannion",
+		Value: []byte("{}"),
+	}
+	h.store.Put(outage)
+
+	for _, p := range append(append([]*hostedProcess{}, h.entries...), h.agents...) {
+		h.kill(p)
+		h.store.DropHistory()
+		h.start(p)
+	}
+
+	id := h.submit(dependentSteps()...)
+
+	for i := range h.entries {
+		status, _ := h.callPath(i, http.MethodGet, withdrawn, nil)
+		assert.Equal(t, status, http.StatusNotFound)
+	}
+
+	time.Sleep(configurationDelay)
+	assert.Equal(t, h.checker.StartCount(id), 0)
+
+	_, err := h.store.Store().Commit(context.Background(), rows.Transaction{Remove: []rows.Row{outage}})
+	assert.NilError(t, err)
+	h.awaitState("succeeded", id)
+	h.checkViolations()
+}
