Serve listings without their malformed entries, and pace runs that are not listed yet

Causes: - One entry of a worker's listing that could not be decoded made the whole listing count as unanswered: the worker counted as silent, nothing was started there, and after 6 s all of its runs lapsed. An end for a reason that is not known did the same. - A pace order for a run that was confirmed and had not been listed yet named an empty task.

Change: the other entries are served; each malformed one is logged (ListingMalformed, bounded). While there is one, no run counts as ended because it is not listed, and a malformed end is not acknowledged by itself, since it may be a success; listings are then requested with a pause, as the worker answers at once while it lists ends. Pace orders name the task of the order.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -403,7 +403,7 @@
 	g.ObserveClock(now, l.Clock)
 	g.Answering = true
 
-	if !g.Synced && len(l.Running) == 0 {
+	if !g.Synced && len(l.Running) == 0 && len(l.Malformed) == 0 {
 		// No run holds an earlier lease, and the token fences earlier orders off.
 		g.leaseDeadline = 0
 	}
@@ -452,7 +452,7 @@
 	var events []EndEvent
 
 	for t, e := range g.Runs {
-		if running[t] {
+		if running[t] || len(l.Malformed) > 0 {
 			continue
 		}
 
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -339,3 +339,22 @@
 	g.MarkAcknowledged(g.Worker.Incarnation, 40)
 	assert.Equal(t, g.EndToAcknowledge(), int64(0))
 }
+
+// TestMalformedListing checks that no run counts as ended because a listing lacks it, if
+// the listing has entries that could not be decoded.
+func TestMalformedListing(t *testing.T) {
+	g := runningGate(t)
+
+	l := Listing{
+		Incarnation: g.Worker.Incarnation,
+		Clock:       2 * time.Second,
+		Malformed:   []string{"running [1]"},
+	}
+	g.ExtendLease(time.Second)
+	assert.Equal(t, len(g.HandleListing(time.Second, time.Second, g.Token, l)), 0)
+	assert.Equal(t, len(g.Runs), 1)
+
+	l.Malformed = nil
+	assert.Equal(t, len(g.HandleListing(time.Second, time.Second, g.Token, l)), 1)
+	assert.Equal(t, len(g.Runs), 0)
+}
--- a/core/gate/pace.go
+++ b/core/gate/pace.go
@@ -129,7 +129,7 @@
 	}
 
 	slices.SortFunc(filling, func(a, b *RunState) int {
-		return cmp.Or(cmp.Compare(worstFactor(a), worstFactor(b)), cmp.Compare(a.Run.Task.String(), b.Run.Task.String()))
+		return cmp.Or(cmp.Compare(worstFactor(a), worstFactor(b)), cmp.Compare(a.Order.Task.String(), b.Order.Task.String()))
 	})
 
 	var orders []PaceOrder
@@ -145,7 +145,7 @@
 		if pace != e.PacePercent {
 			e.PacePercent = pace
 			orders = append(orders, PaceOrder{
-				Task:    e.Run.Task,
+				Task:    e.Order.Task,
 				Attempt: e.Attempt,
 				Percent: pace,
 			})
--- a/core/gate/pace_test.go
+++ b/core/gate/pace_test.go
@@ -85,3 +85,66 @@
 		})
 	}
 }
+
+// TestUnknownPace checks that a pace is ordered again if the call may have failed, also of
+// a run that is not listed yet, and that the pace of a run which was found on the worker is
+// ordered, whatever it is.
+func TestUnknownPace(t *testing.T) {
+	found := []Run{{
+		Task:    job.TaskID{Job: fillingJob},
+		Attempt: 1,
+	}}
+	order := StartOrder{
+		Task:    job.TaskID{Job: fillingJob},
+		Attempt: 1,
+		Size:    job.Size{MilliCores: 1000},
+		Fills:   true,
+	}
+	tests := map[string]struct {
+		prepare func(*testing.T) *Gate
+	}{
+		"CallFailed": {func(t *testing.T) *Gate {
+			t.Helper()
+
+			g := colocatedGate(t)
+			g.HandlePaceFailure(PaceOrder{
+				Task:    order.Task,
+				Attempt: 1,
+				Percent: fullPercent,
+			})
+
+			return g
+		}},
+		"RunFound": {func(t *testing.T) *Gate {
+			t.Helper()
+
+			g := syncedGate(t)
+			g.list(0, found, nil)
+			g.Adopt(order)
+
+			return g
+		}},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := c.prepare(t)
+			want := []PaceOrder{{
+				Task:    order.Task,
+				Attempt: 1,
+				Percent: fullPercent,
+			}}
+
+			assert.DeepEqual(t, g.Pace(g.Sample(0), interference.New()), want)
+			assert.Equal(t, len(g.Pace(g.Sample(0), interference.New())), 0)
+
+			// An older order that failed says nothing of the present pace.
+			g.HandlePaceFailure(PaceOrder{
+				Task:    order.Task,
+				Attempt: 1,
+				Percent: 0,
+			})
+			assert.Equal(t, len(g.Pace(g.Sample(0), interference.New())), 0)
+		})
+	}
+}
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -125,6 +125,9 @@
 	Clock   time.Duration
 	Running []Run
 	Ended   []End
+	// Malformed describes the entries that could not be decoded. The others are served;
+	// but no run counts as ended because it isn't listed, since it may be among these.
+	Malformed []string
 }
 
 // StartOrder is an order to start an attempt.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -68,8 +68,9 @@
 	pingNumber uint64
 	// refusals counts consecutive refused connections to the worker.
 	refusals int
-	// refusedStarts limits the log lines about starts that were refused.
-	refusedStarts jsonlog.Repeats
+	// repeats limits the log lines about starts that were refused and about malformed
+	// entries of listings.
+	repeats jsonlog.Repeats
 	// reported has the runs that were reported to the leader as started, with the
 	// last reported checkpoint.
 	reported map[job.TaskID]string
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -113,14 +113,19 @@
 
 	s.reportPaces(paces)
 
-	unrecorded := len(s.gate.Unrecorded) > 0
+	// The worker answers at once while it lists ends.
+	endsListed := len(s.gate.Unrecorded) > 0 || len(l.Malformed) > 0
 	s.mu.Unlock()
 
+	for _, m := range l.Malformed {
+		s.repeats.Log(s.log, zap.ErrorLevel, "ListingMalformed", m, zap.String("Worker", id))
+	}
+
 	for _, p := range paces {
 		s.pace(ctx, id, token, p)
 	}
 
-	if unrecorded {
+	if endsListed {
 		pause(ctx, s.listNow, unrecordedPause)
 	}
 }
@@ -250,7 +255,7 @@
 
 		if reason != gate.Admitted {
 			s.meter.Count("starts_total", "outcome", string(reason))
-			s.refusedStarts.Log(s.log, zap.InfoLevel, "StartRefused", string(reason), zap.String("Job", start.Task.Job),
+			s.repeats.Log(s.log, zap.InfoLevel, "StartRefused", string(reason), zap.String("Job", start.Task.Job),
 				zap.Stringer("Task", start.Task), zap.Int("Attempt", start.Attempt))
 			refused = append(refused, gate.EndEvent{
 				End: gate.End{
@@ -296,7 +301,7 @@
 		s.gate.MarkInDoubt(o.Task, o.Attempt)
 		notify(s.listNow)
 	default:
-		s.refusedStarts.Log(s.log, zap.WarnLevel, "StartRejected", err.Error(), zap.String("Job", o.Task.Job),
+		s.repeats.Log(s.log, zap.WarnLevel, "StartRejected", err.Error(), zap.String("Job", o.Task.Job),
 			zap.Stringer("Task", o.Task), zap.Int("Attempt", o.Attempt))
 		s.sendReport(s.gate.Reject(o.Task, o.Attempt))
 	}
