Send sidecars only the interference estimates that have changed

Every 2 s it sent all pooled estimates to all agents as soon as one had changed, and one always had: the number of pairs grows with the images in use, and each went to every agent.

Change: a pair is sent again once its factor has changed by a fiftieth or its evidence by a factor of two since it was sent last. A new session gets all pairs, as before.

--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -226,15 +226,13 @@
 // estimates: the images in use change within seconds.
 const estimatesPeriod = 2 * time.Second
 
-// broadcastEstimates sends the pooled interference estimates of all workers to each
-// sidecar whenever they have changed.
+// broadcastEstimates sends the pooled interference estimates of all workers that have
+// changed to each sidecar. A new session gets all of them first.
 func (l *leader) broadcastEstimates(ctx context.Context) error {
 	for sleep(ctx, estimatesPeriod); ctx.Err() == nil; sleep(ctx, estimatesPeriod) {
 		l.mu.Lock()
-		if l.fleet.Interference.Changed() {
-			f := &peerpb.Frame{Body: &peerpb.Frame_Estimates{
-				Estimates: peer.EncodeEstimates(l.fleet.Interference.All()),
-			}}
+		if estimates := l.fleet.Interference.Changes(); len(estimates) > 0 {
+			f := &peerpb.Frame{Body: &peerpb.Frame_Estimates{Estimates: peer.EncodeEstimates(estimates)}}
 
 			for _, n := range l.nodes {
 				if n.node.Role == peer.RoleAgent {
--- a/core/interference/interference.go
+++ b/core/interference/interference.go
@@ -285,7 +285,10 @@
 	// sources has the estimates of each learner by its name.
 	sources map[string]map[Pair]Estimate
 	pooled  map[Pair]Estimate
-	changed bool
+	// changed has the pairs whose estimate changed since the last call of Changes, and
+	// returned what Changes returned of each pair last.
+	changed  map[Pair]bool
+	returned map[Pair]Estimate
 	// generation counts the changes.
 	generation int
 }
@@ -293,8 +296,10 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		sources: map[string]map[Pair]Estimate{},
-		pooled:  map[Pair]Estimate{},
+		sources:  map[string]map[Pair]Estimate{},
+		pooled:   map[Pair]Estimate{},
+		changed:  map[Pair]bool{},
+		returned: map[Pair]Estimate{},
 	}
 }
 
@@ -309,7 +314,7 @@
 	for pair, e := range estimates {
 		known[pair] = e
 		p.pooled[pair] = p.pool(pair)
-		p.changed = true
+		p.changed[pair] = true
 		p.generation++
 	}
 }
@@ -336,12 +341,36 @@
 	}].posterior()
 }
 
-// Changed reports whether an estimate was put since the last call.
-func (p *Pool) Changed() bool {
-	changed := p.changed
-	p.changed = false
+// changeTolerance and changeFactor say which changes of an estimate matter to learners: a
+// factor that differs by more than a fiftieth, or evidence that has doubled. Without them,
+// each learner would get all pairs each time, as some evidence is always added.
+const (
+	changeTolerance = 0.02
+	changeFactor    = 2
+)
 
-	return changed
+// differs reports whether a change of an estimate matters to learners.
+func (e Estimate) differs(o Estimate) bool {
+	factor, other := e.posterior(), o.posterior()
+
+	return math.Abs(factor-other) > changeTolerance*max(factor, other) ||
+		max(e.Weight, o.Weight) > changeFactor*min(e.Weight, o.Weight)
+}
+
+// Changes returns the pooled estimates that differ from what it returned last.
+func (p *Pool) Changes() map[Pair]Estimate {
+	changes := map[Pair]Estimate{}
+
+	for pair := range p.changed {
+		if e := p.pooled[pair]; e.differs(p.returned[pair]) {
+			changes[pair] = e
+			p.returned[pair] = e
+		}
+	}
+
+	clear(p.changed)
+
+	return changes
 }
 
 // All returns the pooled estimates. The caller must not change them.
--- a/core/interference/interference_test.go
+++ b/core/interference/interference_test.go
@@ -89,3 +89,47 @@
 	p.Put("n3", l.Changed())
 	assert.Assert(t, math.Abs(l.Factor("a", "b")-p.Factor("a", "b")) < 1e-9)
 }
+
+// TestChanges checks that a pool returns a pair again only if its factor or its evidence
+// has changed by much since, and that small changes add up.
+func TestChanges(t *testing.T) {
+	pair := Pair{
+		Filling: "a",
+		Serving: "b",
+	}
+	put := func(p *Pool, factor, weight float64) int {
+		p.Put("n1", map[Pair]Estimate{pair: {
+			Factor: factor,
+			Weight: weight,
+		}})
+
+		return len(p.Changes())
+	}
+
+	tests := map[string]struct {
+		factor, weight float64
+		changes        int
+	}{
+		"Same":         {10, 5, 0},
+		"Little":       {10.1, 5.2, 0},
+		"OtherFactor":  {10.5, 5, 1},
+		"MoreEvidence": {10, 10.1, 1},
+		"LessEvidence": {10, 2.4, 1},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := NewPool()
+			assert.Equal(t, put(p, 10, 5), 1)
+			assert.Equal(t, len(p.Changes()), 0)
+			assert.Equal(t, put(p, c.factor, c.weight), c.changes)
+		})
+	}
+
+	p, changes := NewPool(), 0
+	for factor := 10.0; factor < 11; factor += 0.05 {
+		changes += put(p, factor, 5)
+	}
+
+	assert.Assert(t, changes > 3 && changes < 8, "%d changes", changes)
+}
