Count workers of data centres that are not held when a task fails

Cause: a task failed for good after two failures although two more data centres had sound workers.

Change: the last summary of a shard that is released is kept until another holder publishes one, and the workers of shards that are not held and not out count as possible.

Result: TestFailedWhileShardLapsed fails before and passes after; core/placement passes.

--- a/core/placement/ends.go
+++ b/core/placement/ends.go
@@ -192,11 +192,18 @@
 }
 
 // possibleWorkers returns the number of workers that aren't suspect and that report,
-// or have been silent for a short time only, at most maxFailures. Silent workers count
-// because a task must not fail for good on the one worker that still reports.
+// or have been silent for a short time only, at most maxFailures or more. Silent workers
+// and those of shards that are not held count because a task must not fail for good on
+// the one worker that still reports here.
 func (s *Scheduler) possibleWorkers(now time.Time) int {
 	n := 0
 
+	for name := range s.dataCentres {
+		if s.shards[name] == nil && !s.out[name] {
+			n += s.remote[name].Workers
+		}
+	}
+
 	for _, r := range s.workers {
 		if r.record != nil && !r.health.suspect() && now.Sub(s.lastReport(r)) < maxSilence {
 			n++
--- a/core/placement/failures_test.go
+++ b/core/placement/failures_test.go
@@ -40,6 +40,32 @@
 	}
 }
 
+// TestFailedWhileShardLapsed checks that a task does not fail for good on the workers of one
+// data centre while the lease of another one's shard has lapsed.
+func TestFailedWhileShardLapsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tasks = 3
+
+		w := newWorld(t, 1, 2, 2, 2, faults{})
+		w.schedulers[1].pausedUntil = time.Now().Add(time.Hour)
+		w.run(5 * time.Second)
+
+		for _, k := range w.workers[:2] {
+			k.runtime.SetFailAll(true)
+		}
+
+		w.schedulers[0].core.ReleaseShard("dc1")
+		w.schedulers[1].validUntil["dc1"] = time.Now().Add(6 * time.Second)
+		w.declare(job("mix", tasks, 1000, time.Second))
+
+		w.run(5 * time.Second)
+		assert.Equal(t, w.countRecorded(placement.PhaseFailed), 0)
+
+		w.run(time.Minute)
+		assert.Equal(t, w.countRecorded(placement.PhaseFinished), tasks)
+	})
+}
+
 // TestRoomBesideFailed checks that a task that may not run on the only worker with room,
 // since it failed there, doesn't hold up tasks of the same size.
 func TestRoomBesideFailed(t *testing.T) {
--- a/core/placement/shard.go
+++ b/core/placement/shard.go
@@ -80,6 +80,9 @@
 		return
 	}
 
+	// Until another holder publishes a newer one.
+	s.remote[dataCentre] = s.Summary(dataCentre)
+
 	delete(s.shards, dataCentre)
 
 	for _, p := range h.pages {
