End reads of a session when its connection is closed

In between, a read of a stream loops: the closed channel wakes it, the stream isn't closed yet.

Change: the connection that yamux closes in that order is ours, and sets a deadline in the past on the control stream first. A session that is closed before the stream is known is checked for afterwards.

Streams of requests, which only the program trefoildeck uses, have deadlines of their own by the requests' time and are not changed.

--- a/io/peer/coalesce.go
+++ b/io/peer/coalesce.go
@@ -3,6 +3,10 @@
 import (
 	"encoding/binary"
 	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
 )
 
 // Layout of a yamux header: version (1 byte), type (1), flags (2), stream id (4),
@@ -21,6 +25,8 @@
 	net.Conn
 	// buffer holds a data frame's header until its data is written.
 	buffer []byte
+	// control is the stream whose reads end when the connection is closed.
+	control atomic.Pointer[yamux.Stream]
 }
 
 func newCoalescer(c net.Conn) *coalescer {
@@ -30,6 +36,31 @@
 	}
 }
 
+// Close implements io.Closer. yamux calls it between the shutdown of a session and that of
+// its streams, which waits for the reader of the connection. Until then, a read of a stream
+// that has no deadline doesn't wait but loops: with one core, until it is preempted.
+func (c *coalescer) Close() error {
+	if s := c.control.Load(); s != nil {
+		endReads(s)
+	}
+
+	return c.Conn.Close()
+}
+
+// endReadsAtClose makes Close end the reads of a stream.
+func (c *coalescer) endReadsAtClose(mux *yamux.Session, control *yamux.Stream) {
+	c.control.Store(control)
+
+	if mux.IsClosed() {
+		endReads(control)
+	}
+}
+
+func endReads(s *yamux.Stream) {
+	// Setting a deadline never fails.
+	_ = s.SetReadDeadline(time.Unix(1, 0))
+}
+
 // Write implements io.Writer.
 func (c *coalescer) Write(p []byte) (int, error) {
 	if len(c.buffer) == 0 && isDataHeader(p) {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -80,7 +80,9 @@
 	}
 	defer conn.Close()
 
-	mux, err := yamux.Client(newCoalescer(conn), yamuxConfig())
+	joined := newCoalescer(conn)
+
+	mux, err := yamux.Client(joined, yamuxConfig())
 	if err != nil {
 		return fmt.Errorf("start session: %w", err)
 	}
@@ -91,6 +93,8 @@
 		return fmt.Errorf("open control stream: %w", err)
 	}
 
+	joined.endReadsAtClose(mux, control)
+
 	s := newSession(mux, control)
 	s.Hello = l.Hello()
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -70,13 +70,15 @@
 		return err
 	}
 
-	mux, err := yamux.Server(newCoalescer(secured), yamuxConfig())
+	joined := newCoalescer(secured)
+
+	mux, err := yamux.Server(joined, yamuxConfig())
 	if err != nil {
 		return fmt.Errorf("start session: %w", err)
 	}
 	defer mux.Close()
 
-	session, err := accept(ctx, mux)
+	session, err := accept(ctx, mux, joined)
 	if err != nil {
 		return err
 	}
@@ -106,7 +108,7 @@
 }
 
 // accept waits for the control stream and the Hello on it.
-func accept(ctx context.Context, mux *yamux.Session) (*Session, error) {
+func accept(ctx context.Context, mux *yamux.Session, conn *coalescer) (*Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 
@@ -136,5 +138,7 @@
 		return nil, fmt.Errorf("clear deadline: %w", err)
 	}
 
+	conn.endReadsAtClose(mux, control)
+
 	return session, nil
 }
