--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -34,7 +34,8 @@
 	ErrNotFound = eris.New("no such resource")
 	// ErrReferenced is returned if other resources refer to one to be deleted.
 	ErrReferenced = eris.New("other resources refer to it")
-	// ErrChangedTwice is returned if a set deletes a resource and changes it too.
+	// ErrChangedTwice is returned if a set deletes a resource and changes it too, or deletes
+	// it twice.
 	ErrChangedTwice = eris.New("the set changes it twice")
 	// ErrImmutable is returned if the specification of an existing job is changed.
 	ErrImmutable = eris.New("an accepted job can't be changed: delete it, or declare one of another name")
--- a/core/placement/ends.go
+++ b/core/placement/ends.go
@@ -191,10 +191,10 @@
 	return counted > 0 && counted >= min(maxFailures, max(1, s.possibleWorkers(now)))
 }
 
-// possibleWorkers returns the number of workers that aren't suspect and that report,
-// or have been silent for a short time only, at most maxFailures or more. Silent workers
-// and those of shards that are not held count because a task must not fail for good on
-// the one worker that still reports here.
+// possibleWorkers returns how many workers could run a task, and stops counting at
+// maxFailures: those that aren't suspect and report, or have been silent for less than
+// maxSilence, and those of shards that are not held. A task must not fail for good on the
+// one worker that still reports here.
 func (s *Scheduler) possibleWorkers(now time.Time) int {
 	n := 0
 
--- a/io/operator/client.go
+++ b/io/operator/client.go
@@ -33,8 +33,7 @@
 }
 
 // Apply applies a set of declared resources: all or none of up to 49, and of more in parts
-// of 49. A dry run only returns
-// the results.
+// of 49. A dry run only returns the results.
 func (c *Client) Apply(ctx context.Context, list []resource.Resource, dryRun bool) ([]ResultView, error) {
 	declared := make([]Declared, 0, len(list))
 
