Survive messages and rows about tasks that can't exist

Cause: an agent's report, heartbeat or permit request about a task with a negative number made the scheduler of an entry index a list with it (index out of range [-1]); the report is queued, so that the panic came in the scheduling loop, outside of the session, and ended the entry.

Change: such tasks are unknown; pages and segments whose body does not fit their key, or that lack what every row has, are errors (ErrMalformed), which entries log and which leave the shard untaken.

--- a/core/placement/jobs.go
+++ b/core/placement/jobs.go
@@ -83,7 +83,7 @@
 	}
 
 	for _, c := range recorded {
-		if c.Number < len(j.segments) && c.Version >= j.segments[c.Number].record.Version {
+		if c.Number >= 0 && c.Number < len(j.segments) && c.Version >= j.segments[c.Number].record.Version {
 			s.setSegment(j.segments[c.Number], c)
 		}
 	}
@@ -133,7 +133,7 @@
 
 func (s *Scheduler) segment(k SegmentKey) *segmentInfo {
 	j, ok := s.jobs[k.Job]
-	if !ok || k.Number >= len(j.segments) {
+	if !ok || k.Number < 0 || k.Number >= len(j.segments) {
 		return nil
 	}
 
--- a/core/placement/workers.go
+++ b/core/placement/workers.go
@@ -219,7 +219,7 @@
 		Job:    id.Job,
 		Number: id.Task / SegmentSize,
 	})
-	if g == nil || id.Task%SegmentSize >= len(g.record.Tasks) {
+	if g == nil || id.Task < 0 || id.Task%SegmentSize >= len(g.record.Tasks) {
 		return nil, nil
 	}
 
--- a/io/table/records.go
+++ b/io/table/records.go
@@ -9,6 +9,8 @@
 
 	"trefoildeck/core/placement"
 	"trefoildeck/core/resource"
+
+	"github.com/rotisserie/eris"
 )
 
 // Partitions of the table.
@@ -181,6 +183,9 @@
 	Lease       time.Duration
 }
 
+// ErrMalformed says that a row's body does not fit its key, or lacks what every row has.
+var ErrMalformed = eris.New("malformed row")
+
 // ReadPage decodes a page row.
 func ReadPage(r Row) (*placement.Page, error) {
 	var p placement.Page
@@ -188,6 +193,24 @@
 		return nil, fmt.Errorf("read page %s: %w", r.Key.Sort, err)
 	}
 
+	if PageRowKey(p.Key()) != r.Key {
+		return nil, fmt.Errorf("read page %s: it says to be page %d of %s: %w", r.Key.Sort, p.Number, p.DataCentre, ErrMalformed)
+	}
+
+	for name, w := range p.Workers {
+		if w == nil || w.Name != name {
+			return nil, fmt.Errorf("read page %s: worker %s: %w", r.Key.Sort, name, ErrMalformed)
+		}
+
+		if w.Committed == nil {
+			w.Committed = map[string]placement.Size{}
+		}
+	}
+
+	if p.Workers == nil {
+		p.Workers = map[string]*placement.Worker{}
+	}
+
 	p.Version = r.Version
 
 	return &p, nil
@@ -200,6 +223,11 @@
 		return nil, fmt.Errorf("read segment %s: %w", r.Key.Sort, err)
 	}
 
+	if SegmentRowKey(s.Key()) != r.Key || s.Number < 0 || len(s.Tasks) > placement.SegmentSize {
+		return nil, fmt.Errorf("read segment %s: it says to be segment %d of %s with %d tasks: %w",
+			r.Key.Sort, s.Number, s.Job, len(s.Tasks), ErrMalformed)
+	}
+
 	s.Version = r.Version
 
 	return &s, nil
