--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -56,6 +56,9 @@
 	// closes its listeners: the platform checks once a second and needs two failed
 	// checks.
 	unreadyBeforeClose = 2300 * time.Millisecond
+	// lastAnswerTime is the time for the last answers to callers before the end of a
+	// graceful shutdown.
+	lastAnswerTime = 300 * time.Millisecond
 )
 
 // Coordinator serves callers and runs the leader while it holds the lease.
@@ -96,9 +99,9 @@
 	remoteLeader peer.LeaderSession
 	// yieldedAt is when this process last resigned in favour of a stronger one.
 	yieldedAt time.Duration
-	// relayPeers holds the processes that may relay calls to the store, by name: the
+	// relayPeers holds the processes that may relay calls to the store, by session: the
 	// leader, or on the leader the other coordinators.
-	relayPeers map[string]*relayPeer
+	relayPeers map[*peer.Session]relayPeer
 	// relayTurn counts the relayed calls, and so selects the peer for the next one.
 	relayTurn int
 	// queries and storeCalls hold the pending requests to peers by number.
@@ -128,7 +131,7 @@
 		out:           map[string]bool{},
 		queries:       map[uint64]chan *peerpb.QueryAnswer{},
 		storeCalls:    map[uint64]storeCall{},
-		relayPeers:    map[string]*relayPeer{},
+		relayPeers:    map[*peer.Session]relayPeer{},
 		leaderChanged: make(chan struct{}, 1),
 		storeLost:     make(chan struct{}),
 	}
@@ -234,6 +237,11 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 
+	requests, endRequests := context.WithCancel(context.WithoutCancel(ctx))
+	defer endRequests()
+
+	drain := c.settings.Bounds.DrainGrace - unreadyBeforeClose - killMargin
+
 	go func() {
 		<-ctx.Done()
 		c.draining.Store(true)
@@ -243,13 +251,17 @@
 		}
 
 		stop()
+		// Submissions that wait for the store are answered as unknown, not cut off.
+		sleep(requests, drain-lastAnswerTime)
+		endRequests()
 	}()
 
 	return admin.Run(serving, c.settings.Node.CallerAddress, &http.Server{
 		Handler:           handler,
+		BaseContext:       func(net.Listener) context.Context { return requests },
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdleTimeout,
-	}, c.settings.Bounds.DrainGrace-unreadyBeforeClose-killMargin)
+	}, drain)
 }
 
 // measure runs a caller's request and records its outcome and duration as metrics.
@@ -284,7 +296,7 @@
 		return err
 	}
 
-	c.setRelayPeer(p, p.Hello.GetName())
+	c.addRelayPeer(p, p.Hello.GetName())
 	c.log.Info("LeaderConnected", zap.String("Leader", p.Hello.GetName()), zap.Int64("Term", p.Hello.GetTerm()))
 
 	return nil
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -122,7 +122,7 @@
 		},
 		OnOpen: func(s *peer.Session) {
 			if n.node.Role == peer.RoleEntry {
-				l.c.setRelayPeer(s, n.node.Name)
+				l.c.addRelayPeer(s, n.node.Name)
 			}
 
 			l.mu.Lock()
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"trefoildeck/internal/jsonlog"
@@ -115,28 +116,28 @@
 	return !open
 }
 
-// relayPeer is a process with a session that may make calls to the store in place of
-// this one.
+// relayPeer is a process that may make calls to the store in place of this one.
 type relayPeer struct {
-	session *peer.Session
-	send    func(*peerpb.Frame) error
+	name string
+	send func(*peerpb.Frame) error
 }
 
 // storeCall is a call that a peer was asked to make. Its channel is closed if the session
 // ends before the answer.
 type storeCall struct {
-	via    *relayPeer
+	via    *peer.Session
 	answer chan *peerpb.StoreAnswer
 }
 
-// setRelayPeer adds or replaces a process that may relay calls.
-func (c *Coordinator) setRelayPeer(s *peer.Session, name string) {
+// addRelayPeer adds a session with a process that may relay calls. While the leader
+// changes, there may be two with one process, one from each side.
+func (c *Coordinator) addRelayPeer(s *peer.Session, name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.relayPeers[name] = &relayPeer{
-		session: s,
-		send:    s.Send,
+	c.relayPeers[s] = relayPeer{
+		name: name,
+		send: s.Send,
 	}
 }
 
@@ -146,10 +147,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	maps.DeleteFunc(c.relayPeers, func(_ string, p *relayPeer) bool { return p.session == s })
+	delete(c.relayPeers, s)
 
 	for n, call := range c.storeCalls {
-		if call.via.session == s {
+		if call.via == s {
 			close(call.answer)
 			delete(c.storeCalls, n)
 		}
@@ -201,20 +202,22 @@
 	m.Number = c.lastNumber
 
 	// Sorted, so that all peers have their turn.
-	names := slices.Sorted(maps.Keys(c.relayPeers))
-	for range names {
+	sessions := slices.SortedFunc(maps.Keys(c.relayPeers), func(a, b *peer.Session) int {
+		return strings.Compare(c.relayPeers[a].name, c.relayPeers[b].name)
+	})
+	for range sessions {
 		c.relayTurn++
-		name := names[c.relayTurn%len(names)]
-		p := c.relayPeers[name]
+		s := sessions[c.relayTurn%len(sessions)]
+		p := c.relayPeers[s]
 
 		if err := p.send(&peerpb.Frame{Body: &peerpb.Frame_StoreCall{StoreCall: m}}); err != nil {
-			c.log.Warn("RelayUnreachable", zap.String("Node", name), jsonlog.Error(err))
+			c.log.Warn("RelayUnreachable", zap.String("Node", p.name), jsonlog.Error(err))
 
 			continue
 		}
 
 		call := storeCall{
-			via:    p,
+			via:    s,
 			answer: make(chan *peerpb.StoreAnswer, 1),
 		}
 		c.storeCalls[m.GetNumber()] = call
--- a/coordinator/relay_test.go
+++ b/coordinator/relay_test.go
@@ -14,10 +14,13 @@
 )
 
 // addRelayPeers adds processes that record the calls that they are asked to make.
-func addRelayPeers(c *Coordinator, calls map[string]int, names ...string) map[string]*relayPeer {
+func addRelayPeers(c *Coordinator, calls map[string]int, names ...string) map[string]*peer.Session {
+	sessions := map[string]*peer.Session{}
+
 	for _, name := range names {
-		c.relayPeers[name] = &relayPeer{
-			session: &peer.Session{},
+		sessions[name] = &peer.Session{}
+		c.relayPeers[sessions[name]] = relayPeer{
+			name: name,
 			send: func(*peerpb.Frame) error {
 				calls[name]++
 
@@ -26,7 +29,7 @@
 		}
 	}
 
-	return c.relayPeers
+	return sessions
 }
 
 // TestRelayTurns checks that relayed calls go to all other processes in turn, that one
@@ -46,8 +49,11 @@
 		assert.Equal(t, n, 2, name)
 	}
 
-	for _, p := range peers {
-		p.send = func(*peerpb.Frame) error { return net.ErrClosed }
+	for name, s := range peers {
+		c.relayPeers[s] = relayPeer{
+			name: name,
+			send: func(*peerpb.Frame) error { return net.ErrClosed },
+		}
 	}
 
 	began := time.Now()
@@ -74,7 +80,7 @@
 		synctest.Wait()
 
 		began := time.Now()
-		c.dropRelayPeer(peers["front-2"].session)
+		c.dropRelayPeer(peers["front-2"])
 		assert.ErrorIs(t, <-errs, rows.ErrUnknown)
 		assert.Equal(t, time.Since(began), time.Duration(0))
 		assert.Equal(t, len(c.relayPeers), 1)
@@ -83,3 +89,18 @@
 		assert.Equal(t, time.Since(began), relayTimeout)
 	})
 }
+
+// TestRelayPeerTwice checks that a process stays available for relayed calls when one of
+// two sessions with it ends: a leader that has lost its lease may still dial its successor.
+func TestRelayPeerTwice(t *testing.T) {
+	c := newTestCoordinator(&rows.Store{})
+	fromLeader, toLeader := &peer.Session{}, &peer.Session{}
+
+	c.addRelayPeer(fromLeader, "front-3")
+	c.addRelayPeer(toLeader, "front-3")
+	c.dropRelayPeer(toLeader)
+	assert.Equal(t, len(c.relayPeers), 1)
+
+	c.dropRelayPeer(fromLeader)
+	assert.Equal(t, len(c.relayPeers), 0)
+}
--- a/integration/platform_authority_test.go
+++ b/integration/platform_authority_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -158,3 +159,57 @@
 	h.awaitState("succeeded", id)
 	h.checkViolations()
 }
+
+// TestHostedTerminationHeld checks that an entry that receives SIGTERM while a submission
+// waits for the store answers it as unknown before the entry ends, and ends with status 0.
+func TestHostedTerminationHeld(t *testing.T) {
+	t.Parallel()
+
+	h := startHosted(t, 45, 2, 2)
+	h.awaitState("succeeded", h.submit(dependentSteps()...))
+
+	spec := job.Spec{
+		Text:  "held",
+		Steps: dependentSteps(),
+	}
+	id := "00000000000000ab"
+	h.checker.RecordSubmission(id, spec)
+
+	// The answer to the job's row is lost, and the store is out of reach after it.
+	var held atomic.Bool
+
+	h.store.LoseAnswer = func(x rows.Transaction) (bool, time.Duration) {
+		lost := len(x.Set) > 0 && x.Set[0].Key == id && held.CompareAndSwap(false, true)
+		if lost {
+			for _, refuses := range h.storeRefuses {
+				refuses.Store(true)
+			}
+		}
+
+		return lost, 0
+	}
+
+	status := make(chan int, 1)
+
+	go func() {
+		s, _ := h.call(0, http.MethodPost, id, submission(spec))
+		status <- s
+	}()
+
+	for !held.Load() {
+		time.Sleep(time.Millisecond)
+	}
+
+	p := h.entries[0]
+	assert.NilError(t, p.command.Process.Signal(syscall.SIGTERM))
+	assert.NilError(t, p.command.Wait())
+	assert.Equal(t, <-status, http.StatusGatewayTimeout)
+
+	for _, refuses := range h.storeRefuses {
+		refuses.Store(false)
+	}
+
+	h.start(p)
+	h.awaitState("succeeded", id)
+	h.checkViolations()
+}
