Leave the server the time to see its last answers at the end

The held submission was answered at 10.035 s, 0.3 s before the end of the shutdown, which came at 10.335 s: http.Server.Shutdown looks for idle connections after growing pauses of up to 550 ms, and did not see in time that the last one was idle.

Change: held requests end 0.8 s before the end, not 0.3 s.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -57,8 +57,8 @@
 	// checks.
 	unreadyBeforeClose = 2300 * time.Millisecond
 	// lastAnswerTime is the time for the last answers to callers before the end of a
-	// graceful shutdown.
-	lastAnswerTime = 300 * time.Millisecond
+	// graceful shutdown. http.Server.Shutdown sees within 550 ms that they are sent.
+	lastAnswerTime = 800 * time.Millisecond
 )
 
 // Coordinator serves callers and runs the leader while it holds the lease.
