--- a/Makefile
+++ b/Makefile
@@ -73,14 +73,14 @@
 	LOGS=$(LOGS) FIRST=$(FIRST) SEEDS=$(SEEDS) go test -count=1 -v -parallel 5 -timeout 1h -run TestHostedSoak ./integration
 
 # Scores the users' deployments with their bench: BENCH is its path, DEPLOYMENTS the folder
-# of the site files.
+# of the site files, and WHY the reason that its journal records.
 SITES = large/armor-balise-large.toml further/cuulong-say.toml further-grown/cuulong-say-grown.toml
 .PHONY: scores
 scores:
 	@for s in $(SITES); do $(BENCH) score $(DEPLOYMENTS)/$$s --jobs 4 --why "$(WHY)" || exit 1; done
 
 # Plays the days of one kind of trouble in deploy/days on a site of DEPLOYMENTS, and
-# compares them with the day without trouble.
+# compares them with the day without trouble. SEED is the days' seed.
 SITE = further/cuulong-say.toml
 .PHONY: days
 days:
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -56,8 +56,9 @@
 	// closes its listeners: the platform checks once a second and needs two failed
 	// checks.
 	unreadyBeforeClose = 2300 * time.Millisecond
-	// lastAnswerTime is the time for the last answers to callers before the end of a
-	// graceful shutdown. http.Server.Shutdown sees within 550 ms that they are sent.
+	// lastAnswerTime is how long before the end of a graceful shutdown callers that wait for
+	// the store are answered. http.Server.Shutdown takes up to 550 ms to see that they
+	// were.
 	lastAnswerTime = 800 * time.Millisecond
 )
 
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -193,8 +193,8 @@
 }
 
 // rereadLease determines whether a renewal whose answer was lost took place, or whether
-// a conflict comes from such a renewal or from another leader. If the store can't be read, the leader
-// continues until its lease expires.
+// a conflict comes from such a renewal or from another leader. If the store can't be
+// read, the leader continues until its lease expires.
 func (l *leader) rereadLease(ctx context.Context) error {
 	ls, err := l.c.readLease(ctx)
 
--- a/core/interference/interference.go
+++ b/core/interference/interference.go
@@ -341,12 +341,13 @@
 	}].posterior()
 }
 
-// changeTolerance and changeFactor say which changes of an estimate matter to learners: a
-// factor that differs by more than a fiftieth, or evidence that has doubled. Without them,
-// each learner would get all pairs each time, as some evidence is always added.
+// Which changes of an estimate matter to learners. Otherwise each learner would get all
+// pairs each time, as some evidence is always added (TestChanges).
 const (
+	// changeTolerance is the share by which the factor must differ.
 	changeTolerance = 0.02
-	changeFactor    = 2
+	// changeFactor is the ratio by which the evidence must differ.
+	changeFactor = 2
 )
 
 // differs reports whether a change of an estimate matters to learners.
--- a/integration/platform_authority_test.go
+++ b/integration/platform_authority_test.go
@@ -10,7 +10,6 @@
 
 	"trefoildeck/core/job"
 	"trefoildeck/io/rows"
-	"trefoildeck/standin/emulator"
 
 	"gotest.tools/v3/assert"
 )
@@ -18,18 +17,6 @@
 // pauseTime is longer than any lease or authorization of the processes: 6.4 s at most.
 const pauseTime = 7 * time.Second
 
-// planRuns sets the run time of all tasks.
-func (h *hosted) planRuns(d time.Duration) {
-	for _, w := range h.workers {
-		w.PlanRun = func(job.TaskID, int) emulator.RunPlan {
-			return emulator.RunPlan{
-				Duration:  d,
-				EndReason: "done",
-			}
-		}
-	}
-}
-
 // TestHostedPaused checks that a process that was paused for longer than its lease or
 // authorization doesn't act on it afterwards, that its work goes on elsewhere, and that
 // what runs on the worker of a paused agent is neither started twice nor lost.
@@ -77,13 +64,11 @@
 	h := startHosted(t, 43, 3, 3)
 	h.planRuns(300 * time.Millisecond)
 
-	for i, w := range h.workers {
-		orders := i
+	var orders atomic.Int64
 
+	for _, w := range h.workers {
 		w.LoseAnswer = func(string) (bool, time.Duration) {
-			orders++
-
-			return orders%7 == 0, 1500 * time.Millisecond
+			return orders.Add(1)%7 == 0, 1500 * time.Millisecond
 		}
 	}
 
--- a/io/peer/coalesce.go
+++ b/io/peer/coalesce.go
@@ -36,9 +36,10 @@
 	}
 }
 
-// Close implements io.Closer. yamux calls it between the shutdown of a session and that of
-// its streams, which waits for the reader of the connection. Until then, a read of a stream
-// that has no deadline doesn't wait but loops: with one core, until it is preempted.
+// Close implements io.Closer. yamux calls it when it has shut a session down and before it
+// closes the session's streams, for which it waits until the reader of the connection has
+// ended. Until then, a read of a stream without a deadline doesn't wait but loops, and with
+// one core nothing else runs until it is preempted.
 func (c *coalescer) Close() error {
 	if s := c.control.Load(); s != nil {
 		endReads(s)
