Let the tests' proxy be interrupted while nothing reads from a connection

The goroutines: fault "store link silent" updates the proxy's silence toxic under the lock of its toxics and waits until the toxic is interrupted; the toxic is sending data to the writer of a connection that has been closed; that writer waits for the lock to remove its link. Only the tests were stuck, the processes served.

Change: the toxic can be interrupted while it passes data on, keeps that data and passes it on when it runs again. Nothing that it drops or passes differs.

--- a/integration/proxy_test.go
+++ b/integration/proxy_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/Shopify/toxiproxy/v2/stream"
 	"github.com/Shopify/toxiproxy/v2/toxics"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
@@ -31,6 +32,8 @@
 // connectionState is the state of a silence toxic for one connection.
 type connectionState struct {
 	openedAt time.Time
+	// pending is data that was not passed on when the toxic was interrupted, or nil.
+	pending *stream.StreamChunk
 }
 
 // NewState implements toxics.StatefulToxic.
@@ -38,12 +41,28 @@
 	return &connectionState{openedAt: time.Now()}
 }
 
-// Pipe implements toxics.Toxic.
+// Pipe implements toxics.Toxic. It can be interrupted while it passes data on: nothing reads
+// from a connection that is closed until the interruption is over.
 func (s *silence) Pipe(stub *toxics.ToxicStub) {
 	state, ok := stub.State.(*connectionState)
-	drop := ok && state.openedAt.UnixNano() < s.Cutoff
+	if !ok {
+		state = &connectionState{openedAt: time.Now()}
+		stub.State = state
+	}
+
+	drop := state.openedAt.UnixNano() < s.Cutoff
 
 	for {
+		if state.pending != nil && !drop {
+			select {
+			case <-stub.Interrupt:
+				return
+			case stub.Output <- state.pending:
+			}
+		}
+
+		state.pending = nil
+
 		select {
 		case <-stub.Interrupt:
 			return
@@ -54,13 +73,42 @@
 				return
 			}
 
-			if !drop {
-				stub.Output <- c
-			}
+			state.pending = c
 		}
 	}
 }
 
+// TestSilenceInterrupted checks that the toxic can be interrupted while nothing reads what
+// it passes on, and that it passes the same data on afterwards.
+func TestSilenceInterrupted(t *testing.T) {
+	t.Parallel()
+
+	input, output := make(chan *stream.StreamChunk, 1), make(chan *stream.StreamChunk)
+	stub := toxics.NewToxicStub(input, output)
+	stub.State = &connectionState{openedAt: time.Now()}
+
+	interrupted := make(chan bool, 1)
+
+	go stub.Run(&toxics.ToxicWrapper{Toxic: new(silence), Toxicity: 1})
+
+	input <- &stream.StreamChunk{Data: []byte("a")}
+
+	time.Sleep(50 * time.Millisecond)
+
+	go func() { interrupted <- stub.InterruptToxic() }()
+
+	select {
+	case ok := <-interrupted:
+		assert.Assert(t, ok)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the toxic is not interrupted")
+	}
+
+	go stub.Run(&toxics.ToxicWrapper{Toxic: new(silence), Toxicity: 1})
+	assert.Equal(t, string((<-output).Data), "a")
+	close(input)
+}
+
 func newFaultProxy(t *testing.T, name, listen, upstream string) *faultProxy {
 	t.Helper()
 
