Log why agents and the leader take a run for ended

Added: RunsLapsed and RunNotListed (agent), RunGivenUp and ReportsMissing (leader); WorkerListed has the token and the lease. No change of logic.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -504,6 +504,15 @@
 		l.c.log.Warn("WorkerRests", zap.String("Worker", r.Node), zap.Int("Failures", r.Failures), zap.Duration("For", r.Duration))
 	}
 
+	for _, r := range l.fleet.Losses() {
+		l.c.log.Warn("RunGivenUp", zap.String("Job", r.Task.Job), zap.Stringer("Task", r.Task), zap.Int("Attempt", r.Attempt),
+			zap.String("How", string(r.Reason)), zap.String("Node", r.Node), zap.Duration("ContactAge", r.ContactAge))
+	}
+
+	if nodes := l.fleet.Unawaited(); len(nodes) > 0 {
+		l.c.log.Warn("ReportsMissing", zap.Int64("Term", l.term), zap.Strings("Nodes", nodes))
+	}
+
 	for _, s := range l.fleet.Stalls() {
 		l.c.log.Warn("TaskStalled", zap.String("Job", s.Task.Job), zap.Stringer("Task", s.Task), zap.String("Node", s.Node))
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -25,6 +25,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -106,6 +107,9 @@
 	endMarks    map[string]endMark
 	quarantines []Quarantine
 	stalls      []Stall
+	losses      []Loss
+	// unawaited has the nodes whose first reports are no longer awaited.
+	unawaited []string
 }
 
 // endMark is the number of the last end of an incarnation that has been processed.
@@ -150,6 +154,7 @@
 // have not reported.
 func (f *Fleet) awaitsReports(now time.Duration) bool {
 	if len(f.unreported) > 0 && now >= f.reportDeadline {
+		f.unawaited = slices.Sorted(maps.Keys(f.unreported))
 		clear(f.unreported)
 	}
 
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -238,14 +238,54 @@
 			continue
 		}
 
-		f.RecordEnd(now, w.node, gate.End{
-			Task:    id,
-			Attempt: run.attempt,
-			Reason:  gate.Lost,
-		})
+		f.giveUp(now, w, id, run, gate.Lost)
 	}
 }
 
+// Loss is a run that the leader takes for ended although nobody reported its end.
+type Loss struct {
+	Node    string
+	Task    job.TaskID
+	Attempt int
+	// Reason is Lost if a full report of the node lacks the run, or Lapsed if the node
+	// is disconnected and the leases of its worker have expired.
+	Reason gate.EndReason
+	// ContactAge is the time since the last contact with the node.
+	ContactAge time.Duration
+}
+
+func (f *Fleet) giveUp(now time.Duration, w *workerInfo, id job.TaskID, r *run, reason gate.EndReason) {
+	f.losses = append(f.losses, Loss{
+		Node:       w.node,
+		Task:       id,
+		Attempt:    r.attempt,
+		Reason:     reason,
+		ContactAge: now - w.lastContact,
+	})
+	f.RecordEnd(now, w.node, gate.End{
+		Task:    id,
+		Attempt: r.attempt,
+		Reason:  reason,
+	})
+}
+
+// Losses returns the runs that were given up since the last call.
+func (f *Fleet) Losses() []Loss {
+	losses := f.losses
+	f.losses = nil
+
+	return losses
+}
+
+// Unawaited returns the nodes whose first reports have stopped being awaited since the
+// last call.
+func (f *Fleet) Unawaited() []string {
+	nodes := f.unawaited
+	f.unawaited = nil
+
+	return nodes
+}
+
 // RecordContact records that a node is told that its leader still holds the lease. The
 // node may then extend the leases of its runs.
 func (f *Fleet) RecordContact(now time.Duration, node string) {
@@ -270,11 +310,7 @@
 		}
 
 		for id, run := range w.runs {
-			f.RecordEnd(now, w.node, gate.End{
-				Task:    id,
-				Attempt: run.attempt,
-				Reason:  gate.Lapsed,
-			})
+			f.giveUp(now, w, id, run, gate.Lapsed)
 		}
 	}
 }
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -557,6 +557,28 @@
 	return events
 }
 
+// LeaseState is what the gate knows about the leases of the worker's runs, for logs.
+type LeaseState struct {
+	// Left is the time from the last reading of the worker's clock to the latest deadline.
+	Left time.Duration
+	// ReadingAge is the age of that reading.
+	ReadingAge time.Duration
+	// AuthorizedAge is the time since a leader was known to hold its lease. It is only
+	// meaningful if Authorized is set.
+	AuthorizedAge time.Duration
+	Authorized    bool
+}
+
+// Lease returns what is known about the leases at a local time.
+func (g *Gate) Lease(now time.Duration) LeaseState {
+	return LeaseState{
+		Left:          g.leaseDeadline - g.clock,
+		ReadingAge:    now - g.clockReadAt,
+		AuthorizedAge: now - g.authorizedAt,
+		Authorized:    g.authorized,
+	}
+}
+
 // leasesLapsed reports whether all leases have expired on the worker's clock, which
 // may be slow.
 func (g *Gate) leasesLapsed(now time.Duration) bool {
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -95,11 +95,12 @@
 	sample := s.gate.Sample(now)
 	s.learner.Observe(sample)
 	paces := s.gate.Pace(sample, s.learner)
+	s.logUnlisted(events)
 
 	switch {
 	case firstSync && s.gate.Synced:
-		s.log.Info("WorkerListed", zap.String("Worker", id), zap.Int("Runs", len(s.gate.Runs)),
-			zap.Int("Unrecorded", len(s.gate.Unrecorded)))
+		s.log.Info("WorkerListed", append(s.leaseFields(now), zap.String("Worker", id), zap.Int("Runs", len(s.gate.Runs)),
+			zap.Int("Unrecorded", len(s.gate.Unrecorded)), zap.Int64("Token", token))...)
 		s.sendFullReport()
 	case len(events) > 0 || !answeredBefore:
 		s.sendReport(events)
@@ -179,11 +180,42 @@
 		}
 	}
 
-	if events := s.gate.HandleUnanswered(now); answeredBefore || len(events) > 0 {
+	lease := s.leaseFields(now)
+	events := s.gate.HandleUnanswered(now)
+
+	if len(events) > 0 {
+		s.log.Warn("RunsLapsed", append(lease, zap.String("Worker", id), zap.Int("Runs", len(events)),
+			zap.Bool("Draining", s.gate.Worker.Draining))...)
+	}
+
+	if answeredBefore || len(events) > 0 {
 		s.sendReport(events)
 	}
 }
 
+// leaseFields returns the log fields about the leases of the worker's runs. The caller
+// holds the lock.
+func (s *Sidecar) leaseFields(now time.Duration) []zap.Field {
+	l := s.gate.Lease(now)
+
+	fields := []zap.Field{zap.Duration("LeaseLeft", l.Left), zap.Duration("ReadingAge", l.ReadingAge)}
+	if l.Authorized {
+		fields = append(fields, zap.Duration("AuthorizedAge", l.AuthorizedAge))
+	}
+
+	return fields
+}
+
+// logUnlisted logs the runs that ended because a listing lacks them.
+func (s *Sidecar) logUnlisted(events []gate.EndEvent) {
+	for _, e := range events {
+		if e.Number == 0 {
+			s.log.Info("RunNotListed", zap.String("Job", e.Task.Job), zap.Stringer("Task", e.Task),
+				zap.Int("Attempt", e.Attempt), zap.String("How", string(e.Reason)))
+		}
+	}
+}
+
 // reportPaces reports the runs whose pace changed, so that the leader can move them.
 func (s *Sidecar) reportPaces(paces []gate.PaceOrder) {
 	var runs []peer.TaskRun
