--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -99,8 +99,7 @@
 
 	switch {
 	case firstSync && s.gate.Synced:
-		s.log.Info("WorkerListed", append(s.leaseFields(now), zap.String("Worker", id), zap.Int("Runs", len(s.gate.Runs)),
-			zap.Int("Unrecorded", len(s.gate.Unrecorded)), zap.Int64("Token", token))...)
+		s.logSync(now, token)
 		s.sendFullReport()
 	case len(events) > 0 || !answeredBefore:
 		s.sendReport(events)
@@ -193,6 +192,12 @@
 	}
 }
 
+// logSync logs the first listing of an incarnation, or of one whose runs had been forgotten.
+func (s *Sidecar) logSync(now time.Duration, token int64) {
+	s.log.Info("WorkerListed", append(s.leaseFields(now), zap.String("Worker", s.gate.Worker.ID),
+		zap.Int("Runs", len(s.gate.Runs)), zap.Int("Unrecorded", len(s.gate.Unrecorded)), zap.Int64("Token", token))...)
+}
+
 // leaseFields returns the log fields about the leases of the worker's runs. The caller
 // holds the lock.
 func (s *Sidecar) leaseFields(now time.Duration) []zap.Field {
