--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -499,7 +499,22 @@
 
 	now := l.c.now()
 	l.dispatch(l.fleet.Schedule(now, time.Now()))
+	l.logBeliefs()
 
+	if l.fleet.Changed() {
+		notify(l.flush)
+	}
+
+	if next := l.fleet.NextWake(now); next > 0 {
+		return next - now
+	}
+
+	return 0
+}
+
+// logBeliefs logs what the last pass found out about workers and runs. The caller holds
+// l.mu.
+func (l *leader) logBeliefs() {
 	for _, r := range l.fleet.Quarantines() {
 		l.c.log.Warn("WorkerRests", zap.String("Worker", r.Node), zap.Int("Failures", r.Failures), zap.Duration("For", r.Duration))
 	}
@@ -516,16 +531,6 @@
 	for _, s := range l.fleet.Stalls() {
 		l.c.log.Warn("TaskStalled", zap.String("Job", s.Task.Job), zap.Stringer("Task", s.Task), zap.String("Node", s.Node))
 	}
-
-	if l.fleet.Changed() {
-		notify(l.flush)
-	}
-
-	if next := l.fleet.NextWake(now); next > 0 {
-		return next - now
-	}
-
-	return 0
 }
 
 // dispatch sends orders to the nodes. The caller holds l.mu.
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -97,11 +97,10 @@
 	paces := s.gate.Pace(sample, s.learner)
 	s.logUnlisted(events)
 
-	switch {
-	case firstSync && s.gate.Synced:
+	if firstSync && s.gate.Synced {
 		s.logSync(now, token)
 		s.sendFullReport()
-	case len(events) > 0 || !answeredBefore:
+	} else if len(events) > 0 || !answeredBefore {
 		s.sendReport(events)
 	}
 
