Get past the fencing token that a sidecar carried over from an earlier worker

Cause: a token is at least the worker's start time plus its clock, but a sidecar whose worker is replaced keeps the higher token of the worker before it, whose clock may have been far ahead. A new sidecar process starts below that token, is fenced off, and gained only the time that passed with each call. It listed nothing until the difference of the clocks had passed.

Now a latest token that was fenced off is raised by an hour, and by twice as much each time, so that any difference is passed within a few calls.

The emulated worker gets a settable start of its clock.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -84,6 +84,8 @@
 
 	// Token is the fencing token of new calls.
 	Token int64
+	// fencedCalls counts the calls with the highest token that the worker fenced off.
+	fencedCalls int
 	// Unrecorded has the listed ends that are not recorded yet, ordered by number.
 	Unrecorded []End
 	// Recorded is the number of the last recorded end; acknowledged is the last one
@@ -164,6 +166,7 @@
 	g.Unrecorded = nil
 	g.Recorded, g.lastEnd, g.acknowledged = 0, 0, 0
 	g.Synced, g.Answering, g.leaving = false, false, false
+	g.fencedCalls = 0
 	// An order that reached this incarnation granted the longest lease at most.
 	g.leaseDeadline, g.clock, g.clockReadAt = MaxLeaseExtension, 0, now
 
@@ -369,13 +372,35 @@
 }
 
 // RaiseToken raises the fencing token above its current value and to at least the
-// sum of the worker's start time and clock in milliseconds. No earlier token is as
-// high, whether it was issued by another sidecar process or to an earlier incarnation
-// of the worker.
+// sum of the worker's start time and clock in milliseconds. That is mostly higher than
+// any earlier token. Where it is not, because an earlier sidecar process kept the higher
+// token of an earlier incarnation, see HandleFenced.
 func (g *Gate) RaiseToken(clock time.Duration) {
 	g.Token = max(g.Token+1, g.Worker.Born+max(clock, g.clock).Milliseconds())
 }
 
+const (
+	// fencedStepMS is added to a token that the worker fenced off, in milliseconds, and
+	// doubles with each such call, up to maxFencedDoublings times: the clocks of two
+	// incarnations may differ by any amount.
+	fencedStepMS       = 3_600_000
+	maxFencedDoublings = 20
+)
+
+// HandleFenced raises the token after the worker fenced a call off: it knows a higher
+// token than that of the call, which is not known here if the call had the latest one.
+func (g *Gate) HandleFenced(now time.Duration, token int64, clock time.Duration) {
+	latest := token > 0 && token == g.Token
+
+	g.ObserveClock(now, clock)
+	g.RaiseToken(clock)
+
+	if latest {
+		g.Token += fencedStepMS << min(g.fencedCalls, maxFencedDoublings)
+		g.fencedCalls++
+	}
+}
+
 // HandleListing applies a listing that was requested with a token at the time sent
 // and arrived now, and returns what ended.
 func (g *Gate) HandleListing(sent, now time.Duration, token int64, l Listing) []EndEvent {
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -70,7 +70,7 @@
 	now := boottime.Now()
 
 	if err != nil {
-		s.handleListError(now, id, l, err)
+		s.handleListError(now, id, token, l, err)
 		s.mu.Unlock()
 		pause(ctx, s.announced, silentPause)
 
@@ -152,15 +152,14 @@
 }
 
 // handleListError applies the failure of a listing. The caller holds the lock.
-func (s *Sidecar) handleListError(now time.Duration, id string, l gate.Listing, err error) {
-	if errors.Is(err, platform.ErrFenced) {
-		s.gate.ObserveClock(now, l.Clock)
-		s.gate.RaiseToken(l.Clock)
-
+func (s *Sidecar) handleListError(now time.Duration, id string, token int64, l gate.Listing, err error) {
+	if s.gate.Worker.ID != id {
 		return
 	}
 
-	if s.gate.Worker.ID != id {
+	if errors.Is(err, platform.ErrFenced) {
+		s.gate.HandleFenced(now, token, l.Clock)
+
 		return
 	}
 
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -30,6 +31,9 @@
 	Zone     string
 	Capacity job.Size
 	Checker  *Checker
+	// ClockStart is the reading of the worker's clock at the start of an incarnation, one
+	// second if it is 0.
+	ClockStart time.Duration
 	// PlanRun determines the course of an attempt when it starts.
 	PlanRun func(t job.TaskID, attempt int) RunPlan
 	// LoseAnswer reports whether the response to the order at a path is lost, and
@@ -102,6 +106,14 @@
 	w.changed = make(chan struct{})
 }
 
+// Born returns the start of the incarnation, as it is announced.
+func (w *Worker) Born() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	return w.startedAt.UnixMilli()
+}
+
 // Crash ends all running attempts and drops their ends; call Start afterwards to
 // begin a new incarnation.
 func (w *Worker) Crash() {
@@ -117,8 +129,10 @@
 	w.ends = nil
 }
 
-// clock is the worker's clock, which starts at one second in each incarnation.
-func (w *Worker) clock() time.Duration { return time.Since(w.startedAt) + time.Second }
+// clock is the worker's clock, which starts at ClockStart in each incarnation.
+func (w *Worker) clock() time.Duration {
+	return time.Since(w.startedAt) + cmp.Or(w.ClockStart, time.Second)
+}
 
 // Announce sends the worker's announcement to the agent at address control, at the
 // given interval, until ctx is done.
