Answer a sidecar's pings only once it has reported

Cause: the leader took each ping of the new process for a contact after which leases may have been extended, so that the runs of that worker never expired, and as it was sent no report, they were not lost either. A pong was also a permission to extend leases from the first listing on, while a new leader waits for reports only as long as leases last that were extended before it.

Evidence: before, the two tests gave

--- FAIL: TestSilentAfterRestart restart_test.go:163: assertion failed: 0 (int) != 1 (int) --- FAIL: TestPingBeforeReport nodes_test.go:104: the ping was answered before the report

Now a ping is answered, and counts as contact, only after a full report in the session, which also shows all runs. A sidecar pings at once after such a report, so that it may start tasks as early as before. Other reports count as contact only then too.

--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -161,7 +161,7 @@
 }
 
 // handleFrame handles a frame from a node. Frames of replaced links and sessions are
-// dropped. Pings are answered only while the lease is valid.
+// dropped. Pings are answered only while the lease is valid and the node has reported.
 func (l *leader) handleFrame(n *nodeLink, s *peer.Session, f *peerpb.Frame) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -172,8 +172,7 @@
 
 	switch b := f.GetBody().(type) {
 	case *peerpb.Frame_Ping:
-		if l.holdsLease() {
-			l.fleet.RecordContact(l.c.now(), n.node.Name)
+		if l.holdsLease() && l.fleet.RecordContact(l.c.now(), n.node.Name) {
 			n.send(&peerpb.Frame{Body: &peerpb.Frame_Pong{Pong: &peerpb.Pong{Number: b.Ping.GetNumber()}}})
 		}
 	case *peerpb.Frame_WorkerReport:
--- a/coordinator/nodes_test.go
+++ b/coordinator/nodes_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"testing"
 	"time"
 
 	"trefoildeck/core/job"
 	"trefoildeck/io/peer"
+	"trefoildeck/io/peer/peerpb"
 	"trefoildeck/standin/emulator"
 
 	"gotest.tools/v3/assert"
@@ -44,3 +46,69 @@
 	})
 	assert.Equal(t, len(l.fleet.Schedule(0, time.Time{})), 0)
 }
+
+// acceptNode starts a sidecar's side of a link, which passes on its session and the frames
+// that it receives, and returns the sidecar's row.
+func acceptNode(t *testing.T, sessions chan<- *peer.Session, frames chan<- *peerpb.Frame) peer.Node {
+	t.Helper()
+
+	var c net.ListenConfig
+
+	listener, err := c.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	server := peer.Server{
+		OnOpen: func(s *peer.Session) error {
+			sessions <- s
+
+			return nil
+		},
+		OnFrame: func(_ *peer.Session, f *peerpb.Frame) { frames <- f },
+		OnClose: func(*peer.Session) {},
+		OnError: func(string, error) {},
+	}
+
+	go func() { assert.Check(t, server.Serve(t.Context(), listener)) }()
+
+	return peer.Node{
+		Name:    "side-2",
+		Address: netip.MustParseAddrPort(listener.Addr().String()),
+		Role:    peer.RoleAgent,
+		Boot:    "first",
+	}
+}
+
+// TestPingBeforeReport checks that a sidecar that has not reported is not told that its
+// leader holds the lease. It extended leases that the leader took for expired.
+func TestPingBeforeReport(t *testing.T) {
+	l := newTestLeader(t, emulator.NewRowStore())
+	sessions, frames := make(chan *peer.Session, 1), make(chan *peerpb.Frame, 1)
+
+	row, err := acceptNode(t, sessions, frames).Row()
+	assert.NilError(t, err)
+
+	_, ok := l.applyNodeRow(t.Context(), row)
+	assert.Assert(t, ok)
+
+	session := <-sessions
+	ping := &peerpb.Frame{Body: &peerpb.Frame_Ping{Ping: &peerpb.Ping{Number: 1}}}
+
+	for _, f := range []*peerpb.Frame{
+		ping,
+		// It is answered, and after the ping.
+		{Body: &peerpb.Frame_Query{Query: &peerpb.Query{Number: 1}}},
+	} {
+		assert.NilError(t, session.Send(f))
+	}
+
+	assert.Assert(t, (<-frames).GetQueryAnswer() != nil, "the ping was answered before the report")
+
+	for _, f := range []*peerpb.Frame{
+		{Body: &peerpb.Frame_WorkerReport{WorkerReport: &peerpb.WorkerReport{Full: true}}},
+		ping,
+	} {
+		assert.NilError(t, session.Send(f))
+	}
+
+	assert.Assert(t, (<-frames).GetPong() != nil)
+}
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -138,3 +138,42 @@
 	f.Report(time.Second, "n1", Report{Ends: []gate.EndEvent{e}})
 	assert.Equal(t, f.workers["n1"].refusals.pause, time.Duration(0))
 }
+
+// TestSilentAfterRestart checks that the task of a worker starts elsewhere once its leases
+// have expired, though its sidecar restarted and pings: one that can't list its worker has
+// no runs to report, and its pings kept the task from being started again for good.
+func TestSilentAfterRestart(t *testing.T) {
+	const ping = 500 * time.Millisecond
+
+	f := runningFleet(t)
+	f.Report(0, "n2", described("n2"))
+	f.RecordContact(ping, "n1")
+	f.Disconnected("n1")
+
+	announced := described("n1")
+	announced.Full, announced.Ready = false, false
+
+	for now := 2 * ping; now < ping+MaxLeaseTime; now += ping {
+		f.Report(now, "n1", announced)
+		f.RecordContact(now, "n1")
+		assert.Equal(t, len(starts(f.Schedule(now, time.Time{}))), 0, "%s", now)
+	}
+
+	next := starts(f.Schedule(ping+MaxLeaseTime, time.Time{}))["n2"]
+	assert.Equal(t, len(next), 1)
+	assert.Equal(t, next[0].Attempt, 2)
+}
+
+// TestContact checks that a node may extend leases only after it has reported its runs: the
+// leader counts on it that others expire.
+func TestContact(t *testing.T) {
+	f := runningFleet(t)
+	assert.Assert(t, f.RecordContact(0, "n1"))
+	assert.Assert(t, !f.RecordContact(0, "n2"))
+
+	f.Disconnected("n1")
+	assert.Assert(t, !f.RecordContact(0, "n1"))
+
+	f.Report(0, "n1", described("n1"))
+	assert.Assert(t, f.RecordContact(0, "n1"))
+}
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -20,8 +20,9 @@
 	labels      []string
 	ready       bool
 	connected   bool
-	// lastContact is the time when the node last reported, or was last told that its
-	// leader holds the lease. All leases on its worker have expired MaxLeaseTime later.
+	// lastContact is the time when the node last reported while connected, or was last
+	// told that its leader holds the lease. All leases on its worker have expired
+	// MaxLeaseTime later.
 	lastContact time.Duration
 	runs        map[job.TaskID]*run
 
@@ -127,19 +128,23 @@
 	w := f.workers[node]
 	if w == nil {
 		w = &workerInfo{
-			node: node,
-			runs: map[job.TaskID]*run{},
+			node:        node,
+			runs:        map[job.TaskID]*run{},
+			lastContact: now,
 		}
 		f.workers[node] = w
 		f.sortedWorkers = append(f.sortedWorkers, w)
 		slices.SortFunc(f.sortedWorkers, func(a, b *workerInfo) int { return cmp.Compare(a.node, b.node) })
 	}
 
-	w.lastContact = now
 	w.headroomsStale = true
 	// Set before the runs are processed, since a disconnected worker is sent no stops.
 	w.connected = w.connected || r.Full
 
+	if w.connected {
+		w.lastContact = now
+	}
+
 	if r.Described {
 		if w.incarnation != r.Incarnation {
 			w.health = health{}
@@ -246,12 +251,18 @@
 	}
 }
 
-// RecordContact records that a node is told that its leader still holds the lease. The
-// node may then extend the leases of its runs.
-func (f *Fleet) RecordContact(now time.Duration, node string) {
-	if w := f.workers[node]; w != nil {
-		w.lastContact = now
+// RecordContact records that a node is told that its leader still holds the lease, and
+// returns whether it may be told so. The node may then extend the leases of its runs,
+// and so must have reported them: until then, they expire.
+func (f *Fleet) RecordContact(now time.Duration, node string) bool {
+	w := f.workers[node]
+	if w == nil || !w.connected {
+		return false
 	}
+
+	w.lastContact = now
+
+	return true
 }
 
 // Disconnected records that the session with a node ended.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -194,7 +194,6 @@
 	s.learner.Resend()
 	s.log.Info("LeaderConnected", zap.String("Leader", p.Hello.GetName()), zap.Int64("Term", s.leader.Term))
 	s.sendFullReport()
-	s.ping()
 
 	return nil
 }
@@ -264,6 +263,8 @@
 	s.send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{
 		WorkerReport: peer.EncodeReport(true, s.gate, runs, events),
 	}})
+	// The leader answers no ping before it has the report.
+	s.ping()
 }
 
 // sendReport reports the worker's state and the given ends.
