Reproduce TWICE: a restarted agent takes the runs that it finds for lapsed

Why the tests had missed it: the emulated worker's clock started at one second, below the lease of 6 s that a new agent assumed as an absolute reading, and a lost answer broke its connection at once. The clock now starts at any reading, as the users' workers' do, and a lost answer leaves the agent waiting.

--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -358,3 +358,46 @@
 	assert.Equal(t, len(g.HandleListing(time.Second, time.Second, g.Token, l)), 1)
 	assert.Equal(t, len(g.Runs), 0)
 }
+
+// TestFoundRunsTakenForLapsed checks that the runs that a restarted sidecar finds end by
+// the lease that its predecessor may have granted, whatever the worker's clock reads.
+func TestFoundRunsTakenForLapsed(t *testing.T) {
+	const lapse = MaxLeaseExtension + MaxLeaseExtension/ClockDriftDivisor + 100*time.Millisecond
+
+	tests := map[string]struct {
+		clock  time.Duration
+		fenced bool
+	}{
+		"YoungWorker":     {time.Second, false},
+		"OldWorker":       {time.Hour, false},
+		"FencedOldWorker": {time.Hour, true},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := New()
+			g.HandleAnnouncement(0, announcement(1, 1))
+
+			if c.fenced {
+				g.ObserveClock(0, c.clock)
+			}
+
+			g.RaiseToken(c.clock)
+			g.HandleListing(0, 0, g.Token, Listing{
+				Incarnation: g.Worker.Incarnation,
+				Clock:       c.clock,
+				Running: []Run{{
+					Task:    taskA,
+					Attempt: 1,
+				}},
+			})
+
+			assert.Equal(t, len(g.HandleUnanswered(time.Second)), 0)
+			assert.Equal(t, len(g.HandleUnanswered(lapse)), 0)
+
+			events := g.HandleUnanswered(lapse + time.Millisecond)
+			assert.Equal(t, len(events), 1)
+			assert.Equal(t, events[0].Reason, Lapsed)
+		})
+	}
+}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -31,8 +31,8 @@
 	Zone     string
 	Capacity job.Size
 	Checker  *Checker
-	// ClockStart is the reading of the worker's clock at the start of an incarnation, one
-	// second if it is 0.
+	// ClockStart is the reading of the worker's clock at the start of an incarnation. If it
+	// is 0, the readings are firstReadings.
 	ClockStart time.Duration
 	// PlanRun determines the course of an attempt when it starts.
 	PlanRun func(t job.TaskID, attempt int) RunPlan
@@ -43,8 +43,10 @@
 	mu sync.Mutex
 	// startedAt is the start of the incarnation and identifies it.
 	startedAt time.Time
-	sequence  int64
-	token     int64
+	// incarnations counts the starts.
+	incarnations int
+	sequence     int64
+	token        int64
 	// deadline is the end of the lease on the worker's clock.
 	deadline time.Duration
 	runs     map[job.TaskID]*workerRun
@@ -99,6 +101,7 @@
 	}
 
 	w.startedAt = time.Now()
+	w.incarnations++
 	w.sequence, w.token, w.deadline, w.lastEnd = 0, 0, 0, 0
 	w.runs = map[job.TaskID]*workerRun{}
 	w.stopped = map[job.TaskID]int{}
@@ -129,9 +132,13 @@
 	w.ends = nil
 }
 
-// clock is the worker's clock, which starts at ClockStart in each incarnation.
+// firstReadings are the readings of the worker's clock at the starts of its incarnations,
+// in turn: a clock starts anew, at any reading.
+var firstReadings = []time.Duration{time.Hour, time.Second, 20 * time.Minute}
+
+// clock is the worker's clock.
 func (w *Worker) clock() time.Duration {
-	return time.Since(w.startedAt) + cmp.Or(w.ClockStart, time.Second)
+	return time.Since(w.startedAt) + cmp.Or(w.ClockStart, firstReadings[(w.incarnations-1)%len(firstReadings)])
 }
 
 // Announce sends the worker's announcement to the agent at address control, at the
@@ -186,6 +193,8 @@
 
 	if lost, delay := w.LoseAnswer(r.URL.Path); lost {
 		w.executeLater(r.URL.Path, o, delay)
+		// The connection stays open and silent until the agent gives up.
+		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
 
