Let a restarted agent assume the longest lease for the runs that it finds

Cause: a worker's deadlines are readings of its own clock. A new gate set the deadline of leases that it hadn't granted to 6 s, as if that clock had started with it. The clock reads minutes or hours, so the lease of found runs had 'lapsed' thousands of seconds ago (RunsLapsed with LeaseLeft -4303.874). Until the first extension by the new process, one unanswered call was enough to report all runs as lapsed, and the leader started them elsewhere while they ran. The same held between an announced restart of a worker and its first listing, if the clock was read from a fenced call.

Why this works: before its first reading, the clock counts from the announcement; with the first one, and with the first listing if it has runs, the deadline is that reading plus the platform's longest lease, which no earlier grant can exceed. If the first listing has no runs, no lease is left, and the token fences earlier orders off, as before.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -97,9 +97,11 @@
 	leaving bool
 	// lastEnd is the number of the last listed end.
 	lastEnd int64
-	// leaseDeadline is the latest deadline that was granted to the runs.
+	// leaseDeadline is the latest deadline that may have been granted to the runs, by this
+	// process or the one before it.
 	leaseDeadline time.Duration
-	// clock is a reading of the worker's clock, taken at the local time clockReadAt.
+	// clock is a reading of the worker's clock, taken at the local time clockReadAt. It is
+	// 0 until the incarnation's clock has been read.
 	clock, clockReadAt time.Duration
 	// authorizedAt is the last time at which a leader was known to hold its lease.
 	// It is only set if authorized is.
@@ -167,14 +169,20 @@
 	g.Recorded, g.lastEnd, g.acknowledged = 0, 0, 0
 	g.Synced, g.Answering, g.leaving = false, false, false
 	g.fencedCalls = 0
-	// An order that reached this incarnation granted the longest lease at most.
-	g.leaseDeadline, g.clock, g.clockReadAt = MaxLeaseExtension, 0, now
+	g.clock, g.clockReadAt = 0, now
+	g.assumeLongestLease()
 
 	if restarted {
 		g.RaiseToken(0)
 	}
 }
 
+// assumeLongestLease sets the deadline of leases that this process may not have granted:
+// an earlier process did, or an order in flight did in a new incarnation.
+func (g *Gate) assumeLongestLease() {
+	g.leaseDeadline = g.clock + MaxLeaseExtension
+}
+
 func (g *Gate) endAllRuns(reason EndReason) []EndEvent {
 	var events []EndEvent
 
@@ -245,8 +253,16 @@
 
 // ObserveClock records a reading of the worker's clock that arrived at a local time.
 func (g *Gate) ObserveClock(now, reading time.Duration) {
-	if reading > g.clock {
-		g.clock, g.clockReadAt = reading, now
+	if reading <= g.clock {
+		return
+	}
+
+	first := g.clock == 0
+	g.clock, g.clockReadAt = reading, now
+
+	if first {
+		// The deadline so far was not on this clock.
+		g.assumeLongestLease()
 	}
 }
 
@@ -428,9 +444,13 @@
 	g.ObserveClock(now, l.Clock)
 	g.Answering = true
 
-	if !g.Synced && len(l.Running) == 0 && len(l.Malformed) == 0 {
+	switch {
+	case g.Synced:
+	case len(l.Running) == 0 && len(l.Malformed) == 0:
 		// No run holds an earlier lease, and the token fences earlier orders off.
 		g.leaseDeadline = 0
+	default:
+		g.assumeLongestLease()
 	}
 
 	events := g.handleEnds(l)
