Stop acting as leader before the lease is released

Callers could have seen a task run twice: two leaders may start the same task.

Cause: a leader that resigns writes that its lease is free, and went on to start tasks and to answer pings until the store had answered.

Evidence: before, TestResigned gave

--- FAIL: TestResigned (0.00s) progress_test.go:220: assertion failed: l.holdsLease() is true

Now it acts no more once it sends that write. As the other entries keep their sessions with it until it ends, the write has at most a second.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -35,6 +35,9 @@
 	// second, a pass for each would take 5% of a core (BenchmarkSchedule). It delays
 	// the start of each task.
 	scheduleDelay = 5 * time.Millisecond
+	// resignTimeout limits the release of the lease. Until it ends, the other processes
+	// keep their sessions with this one and take no lease.
+	resignTimeout = time.Second
 	// yieldCheckPeriod is the period of the check for a stronger process.
 	yieldCheckPeriod = time.Second
 )
@@ -60,6 +63,8 @@
 
 	leaseMu sync.Mutex
 	lease   leaseState
+	// resigned is set before the lease is released.
+	resigned bool
 
 	// committing is a channel used as a mutex for writing changes: up to which number a
 	// worker may forget its ends depends on all earlier writes.
@@ -87,8 +92,17 @@
 	}
 }
 
-// holdsLease reports whether the lease is still valid, so that the leader may act.
+// holdsLease reports whether the lease is still valid and not being released, so that the
+// leader may act.
 func (l *leader) holdsLease() bool {
+	l.leaseMu.Lock()
+	resigned := l.resigned
+	l.leaseMu.Unlock()
+
+	return !resigned && l.leaseValid()
+}
+
+func (l *leader) leaseValid() bool {
 	l.leaseMu.Lock()
 	expiry := l.lease.record.Expiry
 	l.leaseMu.Unlock()
@@ -182,7 +196,7 @@
 			l.c.log.Warn("LeaseNotRenewed", zap.Int64("Term", l.term), jsonlog.Error(err))
 		}
 
-		if !l.holdsLease() {
+		if !l.leaseValid() {
 			return errLeaseExpired
 		}
 
@@ -254,7 +268,8 @@
 	return ""
 }
 
-// resign writes pending changes once more, then releases the lease.
+// resign writes pending changes once more, then releases the lease. The answer to that may
+// come long after another leader has begun, so this one acts no more.
 func (l *leader) resign(ctx context.Context) error {
 	if _, err := l.commitChanges(ctx); err != nil {
 		l.c.log.Warn("ProgressNotWritten", jsonlog.Error(err))
@@ -262,9 +277,13 @@
 
 	l.leaseMu.Lock()
 	ls := l.lease
+	l.resigned = true
 	l.leaseMu.Unlock()
 	ls.record.Expiry = 0
 
+	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
+	defer cancel()
+
 	if _, err := l.c.putLease(ctx, ls, false); err != nil {
 		l.c.log.Warn("ResignationFailed", jsonlog.Error(err))
 	}
--- a/coordinator/progress_test.go
+++ b/coordinator/progress_test.go
@@ -205,3 +205,24 @@
 		assert.Equal(t, len(s.Rows(progressTable)), 1, "the end whose write failed was not written again")
 	})
 }
+
+// TestResigned checks that a leader acts no more once the store may have released its
+// lease. While it waited for the answer, it started tasks that the next leader started too.
+func TestResigned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewRowStore()
+		l := newTestLeader(t, s)
+		assert.Assert(t, l.holdsLease())
+
+		released := false
+		s.LoseAnswer = func(rows.Transaction) (bool, time.Duration) {
+			released = true
+			assert.Check(t, !l.holdsLease())
+
+			return false, 0
+		}
+
+		assert.ErrorIs(t, l.resign(t.Context()), errResigned)
+		assert.Assert(t, released)
+	})
+}
