Start no loaded task before a new leader knows the nodes

Callers could have seen many tasks run twice after a change of leaders.

Cause: a new leader opened the link of each node as it read its row, and only after the last row it began to wait for the nodes' reports. A report before that started a pass, in which nothing was waited for, so that the tasks that run on the nodes without a report were started again.

Evidence: before, TestNodesUnknown gave

--- FAIL: TestNodesUnknown (0.00s) restart_test.go:188: assertion failed: 1 (int) != 0 (int)

Now tasks of loaded jobs wait until the nodes to wait for are known, and a pass follows then.

--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -59,6 +59,7 @@
 			l.mu.Lock()
 			l.fleet.AwaitReports(l.c.now(), sidecars)
 			l.mu.Unlock()
+			notify(l.wake)
 		}
 
 		return p.Version, nil
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -93,6 +93,8 @@
 	// reportDeadline, their leases have expired.
 	unreported     map[string]bool
 	reportDeadline time.Duration
+	// nodesKnown means that AwaitReports was called.
+	nodesKnown bool
 
 	// Interference has the pooled estimates of interference from all workers.
 	Interference *interference.Pool
@@ -132,7 +134,8 @@
 }
 
 // AwaitReports adds nodes that may run tasks of the previous leader and whose
-// reports Schedule waits for. It is called when this process becomes the leader.
+// reports Schedule waits for. It is called when this process becomes the leader and
+// knows the nodes. Until then, Schedule starts no task of a loaded job.
 func (f *Fleet) AwaitReports(now time.Duration, nodes []string) {
 	for _, n := range nodes {
 		if w := f.workers[n]; w == nil || !w.connected {
@@ -141,6 +144,7 @@
 	}
 
 	f.reportDeadline = now + MaxLeaseTime
+	f.nodesKnown = true
 }
 
 // MissingReports returns the number of nodes that still have to report.
@@ -153,7 +157,7 @@
 		clear(f.unreported)
 	}
 
-	return len(f.unreported) > 0
+	return !f.nodesKnown || len(f.unreported) > 0
 }
 
 // Schedule places the tasks that may start and returns the orders that arose since
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -177,3 +177,24 @@
 	f.Report(0, "n1", described("n1"))
 	assert.Assert(t, f.RecordContact(0, "n1"))
 }
+
+// TestNodesUnknown checks that a new leader starts no task that its predecessor may have
+// started before it knows which nodes there are. The report of the first one to connect made
+// it start those that run on the others.
+func TestNodesUnknown(t *testing.T) {
+	f := New(2)
+	assert.NilError(t, f.Load(0, 0, record(jobA, step(1)), nil, false))
+	f.Report(0, "n2", described("n2"))
+	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 0)
+
+	f.AwaitReports(0, []string{"n1", "n2"})
+	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 0)
+
+	r := described("n1")
+	r.Runs = []gate.Run{{
+		Task:    job.TaskID{Job: jobA},
+		Attempt: 1,
+	}}
+	f.Report(0, "n1", r)
+	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 0)
+}
