Check the leader's lease after the wait for its state

Callers could have seen a task run twice: two leaders may start the same task.

Cause: the scheduling loop checked the lease, then waited for the lock of the leader's state. A process that was held up there for longer than the rest of its lease, or frozen, started tasks, also of jobs that came meanwhile and that the next leader knows as new.

Evidence: before, TestPassAfterLease gave

--- FAIL: TestPassAfterLease (0.00s) progress_test.go:244: assertion failed: 0 (int) != 1 (int): the task was started before

Now a pass checks the lease once it has the lock.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -497,25 +497,24 @@
 		case <-timer.C:
 		}
 
-		if !l.holdsLease() {
-			// renew decides whether the lease is lost.
-			timer.Reset(lease.RenewInterval)
-
-			continue
-		}
-
 		if wait := l.pass(); wait > 0 {
 			timer.Reset(wait)
 		}
 	}
 }
 
-// pass runs a scheduling pass. It returns the time until the next one, or 0 if only a
-// change requires one.
+// pass runs a scheduling pass if the lease is valid. It returns the time until the next
+// one, or 0 if only a change requires one.
 func (l *leader) pass() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	// Checked here, since the wait for l.mu may outlast the lease.
+	if !l.holdsLease() {
+		// renew decides whether the lease is lost.
+		return lease.RenewInterval
+	}
+
 	now := l.c.now()
 	l.dispatch(l.fleet.Schedule(now, time.Now()))
 
--- a/coordinator/progress_test.go
+++ b/coordinator/progress_test.go
@@ -10,6 +10,7 @@
 	"trefoildeck/core/fleet"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
+	"trefoildeck/core/lease"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/rows"
 	"trefoildeck/settings"
@@ -226,3 +227,20 @@
 		assert.Assert(t, released)
 	})
 }
+
+// TestPassAfterLease checks that a leader starts nothing in a pass that was held up until its
+// lease had expired: the next leader may have started it.
+func TestPassAfterLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLeader(t, emulator.NewRowStore())
+		l.fleet.Add(0, 0, job.Record{
+			ID:      "00000000000000bb",
+			Service: "orders",
+			Spec:    job.Spec{Steps: []job.Step{{Count: 1}}},
+		})
+
+		time.Sleep(lease.Duration)
+		l.pass()
+		assert.Equal(t, len(l.fleet.Schedule(0, time.Time{})), 1, "the task was started before")
+	})
+}
