Fence off starts in flight when a worker's leases have lapsed

Callers could have seen a task run twice.

Cause: the fencing token was raised when a start went unanswered, if it was still known. The lapse of the leases forgets all runs, also those in flight, and left the token as it was, so that the worker could carry out the start seconds later, while the leader had started the task elsewhere.

Evidence: before, TestLapsedInFlight gave

--- FAIL: TestLapsedInFlight (0.00s) gate_test.go:217: assertion failed: g.Token is <= token

Now the token is raised with the lapse. A lease is only extended again by calls with the new token, after which the start is rejected.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -560,6 +560,8 @@
 	events := g.endAllRuns(Lapsed)
 	g.Runs = map[job.TaskID]*RunState{}
 	g.Synced = false
+	// A start in flight may arrive once later calls have extended the leases again.
+	g.RaiseToken(0)
 
 	return events
 }
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -201,6 +201,22 @@
 	}
 }
 
+// TestLapsedInFlight checks that a start that is in flight when its worker's leases lapse is
+// fenced off: as no run was left to be marked in doubt, it was carried out seconds later,
+// under a lease that was extended for others.
+func TestLapsedInFlight(t *testing.T) {
+	g := runningGate(t)
+	lapsed := MaxLeaseExtension - 100*time.Millisecond
+	token, _ := g.Reserve(lapsed, StartOrder{
+		Task:    job.TaskID{Job: "000000000000000b"},
+		Attempt: 1,
+	})
+
+	events := g.HandleUnanswered(lapsed + 400*time.Millisecond)
+	assert.Equal(t, len(events), 2)
+	assert.Assert(t, g.Token > token)
+}
+
 // TestProcessExit checks that the runs of a worker process that exited count as lost at
 // once, and that an order in flight does not.
 func TestProcessExit(t *testing.T) {
