--- a/coordinator/progress_test.go
+++ b/coordinator/progress_test.go
@@ -10,6 +10,7 @@
 	"trefoildeck/core/fleet"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
+	"trefoildeck/core/lease"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/rows"
 	"trefoildeck/settings"
@@ -205,3 +206,41 @@
 		assert.Equal(t, len(s.Rows(progressTable)), 1, "the end whose write failed was not written again")
 	})
 }
+
+// TestResigned checks that a leader acts no more once the store may have released its
+// lease. While it waited for the answer, it started tasks that the next leader started too.
+func TestResigned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewRowStore()
+		l := newTestLeader(t, s)
+		assert.Assert(t, l.holdsLease())
+
+		released := false
+		s.LoseAnswer = func(rows.Transaction) (bool, time.Duration) {
+			released = true
+			assert.Check(t, !l.holdsLease())
+
+			return false, 0
+		}
+
+		assert.ErrorIs(t, l.resign(t.Context()), errResigned)
+		assert.Assert(t, released)
+	})
+}
+
+// TestPassAfterLease checks that a leader starts nothing in a pass that was held up until its
+// lease had expired: the next leader may have started it.
+func TestPassAfterLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newTestLeader(t, emulator.NewRowStore())
+		l.fleet.Add(0, 0, job.Record{
+			ID:      "00000000000000bb",
+			Service: "orders",
+			Spec:    job.Spec{Steps: []job.Step{{Count: 1}}},
+		})
+
+		time.Sleep(lease.Duration)
+		l.pass()
+		assert.Equal(t, len(l.fleet.Schedule(0, time.Time{})), 1, "the task was started before")
+	})
+}
