Keep the success of an attempt that ends while the agent stops it

Callers saw a task run again that had finished: the agent read that the attempt runs, took a checkpoint, and stopped it. The runtime's Stop removes an attempt that has ended. If the attempt finished in between (the agent was paused, the runtime slow or a status unanswered), its success was removed before any heartbeat reported it; the next Stop listed the attempt as stopped, and the entry placed the task again.

The agent now reads the status again after the checkpoint, which pauses the attempt, so that it can't finish between that reading and Stop. An unanswered status no longer counts as "runs"; the entry repeats the command. Left: an attempt whose checkpoint the runtime refuses may still finish between the last status and Stop.

--- a/agent/tasks.go
+++ b/agent/tasks.go
@@ -173,46 +173,63 @@
 }
 
 // stop stops an attempt, after storing a checkpoint if save is set. If the runtime
-// refuses the checkpoint, the attempt is stopped without one. If the checkpoint fails
-// for another reason, the attempt is resumed, and the entry repeats the command.
+// refuses the checkpoint, the attempt is stopped without one. If anything else fails,
+// the attempt is resumed, and the entry repeats the command.
 func (a *Agent) stop(ctx context.Context, id placement.AttemptID, save bool) {
-	if a.hasEnded(ctx, id) {
-		// The end is reported with the heartbeats.
+	stopped, err := a.tryStop(ctx, id, save)
+	if err != nil {
+		a.log.Warn("StopFailed", zap.Stringer("Task", id), zap.Error(err))
+
 		return
 	}
 
+	if stopped {
+		a.log.Info("TaskStopped", zap.Stringer("Task", id))
+		a.reportNow()
+	}
+}
+
+// tryStop reports whether it stopped an attempt. It leaves one alone that has ended:
+// stopping it would remove its end, which is reported with the heartbeats. The status is
+// read again after the checkpoint, which takes time and after which the attempt is paused.
+func (a *Agent) tryStop(ctx context.Context, id placement.AttemptID, save bool) (bool, error) {
+	if ended, err := a.hasEnded(ctx, id); err != nil || ended {
+		return false, err
+	}
+
 	if save {
 		if err := a.storeCheckpoint(ctx, id); err != nil && !errors.Is(err, worker.ErrRefused) {
-			a.log.Warn("CheckpointFailed", zap.Stringer("Task", id), zap.Error(err))
 			a.throttle(ctx, id, unthrottledPercent)
 
-			return
+			return false, err
+		}
+
+		if ended, err := a.hasEnded(ctx, id); err != nil || ended {
+			return false, err
 		}
 	}
 
 	if err := a.worker.Stop(ctx, id); err != nil {
-		a.log.Warn("StopFailed", zap.Stringer("Task", id), zap.Error(err))
-
-		return
+		return false, fmt.Errorf("stop task on runtime: %w", err)
 	}
 
-	a.log.Info("TaskStopped", zap.Stringer("Task", id))
-	a.reportNow()
+	return true, nil
 }
 
-func (a *Agent) hasEnded(ctx context.Context, id placement.AttemptID) bool {
+// hasEnded reports whether the runtime lists an attempt as ended.
+func (a *Agent) hasEnded(ctx context.Context, id placement.AttemptID) (bool, error) {
 	status, err := a.worker.Status(ctx)
 	if err != nil {
-		return false
+		return false, fmt.Errorf("read runtime status: %w", err)
 	}
 
 	for _, t := range status.Tasks {
 		if t.ID == id {
-			return t.Phase != placement.PhaseRunning
+			return t.Phase != placement.PhaseRunning, nil
 		}
 	}
 
-	return false
+	return false, nil
 }
 
 // storeCheckpoint takes a checkpoint of an attempt and stores it in the object
@@ -257,7 +274,8 @@
 // forget makes the runtime forget an ended attempt, once an entry has acknowledged
 // that its end is recorded.
 func (a *Agent) forget(ctx context.Context, id placement.AttemptID) {
-	if !a.hasEnded(ctx, id) {
+	ended, err := a.hasEnded(ctx, id)
+	if err != nil || !ended {
 		return
 	}
 
