Count a shard's lease from after the read that showed its renewal

An entry dated a version of a lease row by the time before it asked for the rows. If the read was slow, or the entry was paused before it, a renewal that was written meanwhile counted as that much older, and the entry took the lease of a live holder at once. Until the former holder noticed, up to ShardLease later, both extended the leases of workers and acknowledged ends. The new holder counts a silent worker's runs as lapsed TaskLease plus 3 s after it took the shard, which by reading is too early where ShardLease is above 3 s (the default is 6 s); that consequence was not run.

Evidence, before: TestRenewedDuringSlowRead: assertion failed: 3 (version int64) != 2 (int64) The row has a third version since the second entry took the lease right after the renewal.

A version that an answer shows was written before the answer arrived, so the time after the answer is never too early.

--- a/entry/leases.go
+++ b/entry/leases.go
@@ -31,7 +31,8 @@
 	version int64
 	epoch   int64
 	body    table.Shard
-	// seen is when this version was first seen, by this entry's clock.
+	// seen is when this version was first seen, by this entry's clock: for the lease of
+	// another entry, not before the version was written.
 	seen time.Time
 	// held is set while this entry holds the lease, at most until validUntil.
 	held       bool
@@ -54,8 +55,6 @@
 // maintainLeases reads the lease rows, renews or yields the leases that the entry
 // holds and takes those that are free.
 func (e *Entry) maintainLeases(ctx context.Context) {
-	readAt := time.Now()
-
 	rows, err := e.table.All(ctx, table.PartitionShard)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -65,7 +64,8 @@
 		return
 	}
 
-	if err := e.applyLeaseRows(readAt, rows); err != nil {
+	// A holder may have renewed its lease at any time up to the answer.
+	if err := e.applyLeaseRows(time.Now(), rows); err != nil {
 		e.log.Error("LeaseUnreadable", zap.Error(err))
 
 		return
