Keep rows in memory that are newer than those read again

A scheduler could permit an attempt whose end was recorded, and acknowledge the end of an attempt that it had not recorded, so that the worker forgot it and the task hung.

Rows that a rejected batch made stale are read without the scheduler's lock and replace those in memory when the answer arrives. Meanwhile a batch of another shard may have written the same segment, or the shard may have been released and taken again. The older rows then replaced newer ones, and permits and acknowledgements were derived from them. The answer to a read of a former hold also let a second batch start while one was in flight. A batch's late result could replace a segment that was read after a later write.

Evidence, before: TestReloadBeforeLaterWrite: assertion failed: true (permitted bool) != false (false bool) TestReloadOfFormerHold: Assigned (…) != Finished (placement.PhaseFinished …) TestLateResult: Pending (…) != Finished (placement.PhaseFinished …)

Versions of rows only rise while their job exists, so the row with the higher version is the later one. A shard without stale rows waits for no read, so such an answer is of a former hold.

--- a/core/placement/batch.go
+++ b/core/placement/batch.go
@@ -219,7 +219,7 @@
 		c := b.Segments[k]
 		c.Version++
 
-		if g := s.segment(k); g != nil {
+		if g := s.segment(k); g != nil && !g.newerThan(c) {
 			s.setSegment(g, c)
 		}
 	}
@@ -287,14 +287,20 @@
 }
 
 // ApplyReloaded replaces stale rows by those read from the table. A row that does
-// not exist is passed with its key and version zero.
+// not exist is passed with its key and version zero. A segment that a batch of another
+// shard has written since is left as it is, and so are rows that were read for an earlier
+// hold of the shard, in which case a batch may be in flight.
 func (s *Scheduler) ApplyReloaded(dataCentre string, pages []*Page, segments []*Segment) {
 	h, ok := s.shards[dataCentre]
-	if !ok {
+	if !ok || len(h.stale.pages)+len(h.stale.segments) == 0 {
 		return
 	}
 
 	for _, p := range pages {
+		if old := h.pages[p.Number]; old != nil && old.Version > p.Version {
+			continue
+		}
+
 		delete(h.stale.pages, p.Number)
 		s.setPage(h, p)
 		s.evictOrphans(p)
@@ -303,7 +309,7 @@
 	for _, c := range segments {
 		delete(h.stale.segments, c.Key())
 
-		if g := s.segment(c.Key()); g != nil {
+		if g := s.segment(c.Key()); g != nil && !g.newerThan(c) {
 			s.setSegment(g, c)
 		}
 	}
--- a/core/placement/jobs.go
+++ b/core/placement/jobs.go
@@ -83,7 +83,7 @@
 	}
 
 	for _, c := range recorded {
-		if c.Number >= 0 && c.Number < len(j.segments) && c.Version >= j.segments[c.Number].record.Version {
+		if c.Number >= 0 && c.Number < len(j.segments) && !j.segments[c.Number].newerThan(c) {
 			s.setSegment(j.segments[c.Number], c)
 		}
 	}
@@ -140,6 +140,14 @@
 	return j.segments[k.Number]
 }
 
+// newerThan reports whether the in-memory copy of a segment is newer than a recorded one.
+// A segment's row is removed only if its job was deleted.
+func (g *segmentInfo) newerThan(c *Segment) bool {
+	removed := c.Version == 0 && g.job.spec.Cancelled
+
+	return g.record.Version > c.Version && !removed
+}
+
 // setSegment replaces the in-memory copy of a segment by the recorded one. A
 // segment without tasks has no row; all its tasks are pending.
 func (s *Scheduler) setSegment(g *segmentInfo, c *Segment) {
