Leave a job unknown that is deleted while a shard is taken

Callers saw the tasks of a deleted job run again, finished ones too. An entry that takes a shard notes the jobs, reads their segments without its lock, and then sets each job in the scheduler. If a job was deleted in between and its rows were removed by a batch of another shard that the entry holds, the job came back as a new one, with all tasks pending.

Evidence, before: TestJobDeletedDuringTake, a job of three finished tasks: assertion failed: 3 (status.Assigned int) != 0 (int)

The entry now sets segments only of jobs that the scheduler still knows. Every job with attempts in the shard was in the feed before the rows were read, so none is left out.

--- a/core/placement/jobs.go
+++ b/core/placement/jobs.go
@@ -82,6 +82,18 @@
 		s.jobs[spec.Key] = j
 	}
 
+	s.setSegments(j, recorded)
+}
+
+// SetSegments replaces the segments of a job by the recorded ones. A job that is no longer
+// known, since it was deleted while they were read, stays unknown.
+func (s *Scheduler) SetSegments(key string, recorded []*Segment) {
+	if j, ok := s.jobs[key]; ok {
+		s.setSegments(j, recorded)
+	}
+}
+
+func (s *Scheduler) setSegments(j *jobInfo, recorded []*Segment) {
 	for _, c := range recorded {
 		if c.Number >= 0 && c.Number < len(j.segments) && !j.segments[c.Number].newerThan(c) {
 			s.setSegment(j.segments[c.Number], c)
--- a/entry/leases.go
+++ b/entry/leases.go
@@ -306,7 +306,7 @@
 	}
 
 	for _, j := range jobs {
-		e.scheduler.SetJob(j.spec, j.segments)
+		e.scheduler.SetSegments(j.key, j.segments)
 	}
 
 	e.scheduler.TakeShard(now, dataCentre, epoch, pages)
@@ -315,7 +315,7 @@
 
 // recordedJob is a job with its segments as recorded in the table.
 type recordedJob struct {
-	spec     placement.JobSpec
+	key      string
 	segments []*placement.Segment
 }
 
@@ -349,7 +349,7 @@
 		group.Go(func() error {
 			segments, err := e.jobSegments(ctx, spec.Key)
 			jobs[i] = recordedJob{
-				spec:     spec,
+				key:      spec.Key,
 				segments: segments,
 			}
 
--- a/entry/leases_test.go
+++ b/entry/leases_test.go
@@ -7,6 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"trefoildeck/core/catalog"
+	"trefoildeck/core/placement"
+	"trefoildeck/core/resource"
 	"trefoildeck/io/table"
 	"trefoildeck/settings"
 	"trefoildeck/standin"
@@ -93,3 +96,116 @@
 		assert.Equal(t, body.Holder, "entry-1")
 	})
 }
+
+// applyChange commits a change of one resource.
+func applyChange(t *testing.T, e *Entry, c catalog.Change) {
+	t.Helper()
+
+	c.IfRevision = catalog.AnyRevision
+	_, err := e.apply(t.Context(), "tester", []catalog.Change{c}, false)
+	assert.NilError(t, err)
+}
+
+// putFinished records that all tasks of a job with one segment have finished.
+func putFinished(t *testing.T, c *table.Table, key string, tasks int) {
+	t.Helper()
+
+	body := placement.Segment{Job: key}
+	for range tasks {
+		body.Tasks = append(body.Tasks, placement.Task{
+			Phase:   placement.PhaseFinished,
+			Attempt: 1,
+		})
+	}
+
+	w, err := table.PutJSON(table.SegmentRowKey(body.Key()), 0, body)
+	assert.NilError(t, err)
+	assert.NilError(t, c.Commit(t.Context(), []table.Write{w}))
+}
+
+// TestJobDeletedDuringTake checks that a job that is deleted, and whose rows are removed,
+// while an entry reads the rows for a shard does not run again.
+func TestJobDeletedDuringTake(t *testing.T) {
+	const tasks = 3
+
+	direct := standin.NewTable().Client()
+	hooked := *direct
+	e := newTestEntry(t, "entry-0", &hooked)
+	id := resource.ID{
+		Kind: resource.KindJob,
+		Name: "mix",
+	}
+
+	synctest.Test(t, func(t *testing.T) {
+		applyChange(t, e, catalog.Change{
+			ID:   dataCentreID("lannion"),
+			Spec: &resource.DataCentre{Region: "test"},
+		})
+		applyChange(t, e, catalog.Change{
+			ID: resource.ID{
+				Kind: resource.KindTeam,
+				Name: "mixing",
+			},
+			Spec: &resource.Team{},
+		})
+		applyChange(t, e, catalog.Change{
+			ID: id,
+			Spec: &resource.Job{
+				Team:       "mixing",
+				Tasks:      tasks,
+				MilliCores: 1000,
+				MemoryMB:   1000,
+				RunTime:    time.Second,
+				Command:    "run",
+			},
+		})
+
+		key := e.scheduler.JobKeys("mix")[0]
+		putFinished(t, direct, key, tasks)
+		e.maintainLeases(t.Context())
+
+		applyChange(t, e, catalog.Change{
+			ID:   dataCentreID("pontivy"),
+			Spec: &resource.DataCentre{Region: "test"},
+		})
+
+		deleted := false
+		hooked.Query = func(ctx context.Context, partition, after string, limit int32) ([]table.Row, error) {
+			if partition == table.SegmentPartition(key) && !deleted {
+				deleted = true
+
+				applyChange(t, e, catalog.Change{
+					ID:     id,
+					Delete: true,
+				})
+
+				for range 3 {
+					e.schedule(ctx)
+					time.Sleep(commitInterval)
+				}
+			}
+
+			return direct.Query(ctx, partition, after, limit)
+		}
+
+		e.maintainLeases(t.Context())
+
+		_, held := e.scheduler.Holds("pontivy")
+		assert.Assert(t, held && deleted)
+
+		for range 3 {
+			e.scheduler.Heartbeat(time.Now(), placement.Report{
+				Worker:     "pontivy-0",
+				DataCentre: "pontivy",
+				BootID:     "boot",
+				Capacity:   sizeOf(8000, 8000, 0),
+			})
+			e.schedule(t.Context())
+			time.Sleep(commitInterval)
+		}
+
+		status, known := e.scheduler.Status(key)
+		assert.Equal(t, status.Assigned, 0)
+		assert.Equal(t, known, false)
+	})
+}
