Record what a worker reports before what the scheduler inferred

A task that its worker had reported as finished ran again. A worker that is silent for its lease and 3 s counts as lost, and the ends of its attempts as lapsed are queued. While they can't be recorded (the batch is in doubt, rows are read again), the worker may report again; its ends came later in the queue, and only the first end of an attempt is recorded. A reported checkpoint was lost in the same way.

Evidence, before: TestReportedAfterLapse: Lapsed: assertion failed: (task.Checkpoint string) != saved (c.end.Checkpoint string) Finished: Pending (task.Phase placement.Phase) != Finished (c.want placement.Phase)

Ends that agents report now go first. They are final whenever they arrive, since an attempt that has ended starts never again.

--- a/core/placement/ends.go
+++ b/core/placement/ends.go
@@ -31,6 +31,8 @@
 type reportedEnd struct {
 	End
 	worker string
+	// inferred says that no agent reported the end.
+	inferred bool
 }
 
 // ReportEnd queues the end of an attempt that an agent reports. The agent repeats
@@ -60,6 +62,18 @@
 	h.ends = nil
 	done := map[AttemptID]bool{}
 
+	// An agent's report says whether the attempt finished and names its checkpoint.
+	slices.SortStableFunc(ends, func(a, b reportedEnd) int {
+		switch {
+		case a.inferred == b.inferred:
+			return 0
+		case b.inferred:
+			return -1
+		default:
+			return 1
+		}
+	})
+
 	for _, e := range ends {
 		if done[e.ID] {
 			continue
--- a/core/placement/reload_test.go
+++ b/core/placement/reload_test.go
@@ -181,3 +181,40 @@
 
 	assert.Equal(t, b.core.Tasks("mix@1")[1].Phase, placement.PhaseFinished)
 }
+
+// TestReportedAfterLapse checks that the end that a worker reports is recorded, with its
+// checkpoint, if its attempt counts as lapsed and that is not recorded yet.
+func TestReportedAfterLapse(t *testing.T) {
+	tests := map[string]struct {
+		end  placement.End
+		want placement.Phase
+	}{
+		"Finished": {placement.End{Phase: placement.PhaseFinished}, placement.PhaseFinished},
+		"Lapsed":   {placement.End{Phase: placement.PhaseLapsed, Checkpoint: "saved"}, placement.PhasePending},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newShardBench(t, 1)
+			b.take(1, page("dc0", 1))
+
+			placed := b.batch()
+			b.core.ApplyResult(placed, placement.ResultWritten)
+
+			b.now = b.now.Add(2 * taskLease)
+			b.core.ApplyResult(b.batch(), placement.ResultUnknown)
+			assert.Equal(t, b.core.Stats().Lost, int64(1))
+
+			c.end.ID = attempt(0, 1)
+			b.core.ReportEnd("dc0", c.end)
+
+			// The batch was not written.
+			read := *placed.Segments[segmentKey()]
+			b.core.ApplyReloaded("dc0", []*placement.Page{page("dc0", 2, c.end.ID)}, []*placement.Segment{&read})
+
+			task := b.batch().Segments[segmentKey()].Tasks[0]
+			assert.Equal(t, task.Phase, c.want)
+			assert.Equal(t, task.Checkpoint, c.end.Checkpoint)
+		})
+	}
+}
--- a/core/placement/workers.go
+++ b/core/placement/workers.go
@@ -313,7 +313,8 @@
 
 		r.lapsing[id] = true
 		h.ends = append(h.ends, reportedEnd{
-			worker: r.name,
+			worker:   r.name,
+			inferred: true,
 			End: End{
 				ID:     id,
 				Phase:  PhaseLapsed,
