Let runs go on that an agent finds at its start

Each restart of an agent paused all tasks on its worker and wrote a checkpoint of each. An agent that starts has no lease on record and took that for one that has expired, although the runs have the lease that the process before it passed on. They went on only once an entry had renewed the lease, so not for as long as no entry held the shard.

The agent now waits for an entry's answer for 1 s from its first status of the incarnation. If there is none, it checkpoints the runs as before: their lease may be about to expire. A lease that expires within that second costs the work since the last checkpoint.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -67,8 +67,9 @@
 	links map[netip.AddrPort]*link
 	// sessions has the last token received on each open session.
 	sessions map[*peer.Session]uint64
-	// bootID is the id of the worker's current incarnation.
-	bootID string
+	// bootID is the id of the worker's current incarnation, first seen at bootSeenAt.
+	bootID     string
+	bootSeenAt time.Time
 	// leaseUntil is the runtime's uptime at which the worker's lease expires.
 	leaseUntil time.Duration
 	lastPoll   *runtimePoll
--- a/agent/heartbeat.go
+++ b/agent/heartbeat.go
@@ -50,6 +50,10 @@
 	at     time.Time
 }
 
+// foundRunsWait is how long after its start an agent waits for a lease before it
+// checkpoints the attempts that it found.
+const foundRunsWait = time.Second
+
 // maxPollAge is how long heartbeats report a status of the runtime.
 const maxPollAge = time.Second
 
@@ -197,6 +201,7 @@
 
 	if a.bootID != status.BootID {
 		a.bootID = status.BootID
+		a.bootSeenAt = time.Now()
 		a.leaseUntil = 0
 		clear(a.checkpoints)
 	}
@@ -215,6 +220,14 @@
 	return a.leaseUntil
 }
 
+// sinceBootSeen returns the time since this process first saw the worker's incarnation.
+func (a *Agent) sinceBootSeen() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return time.Since(a.bootSeenAt)
+}
+
 // recordLease stores a granted lease. A lease is never shortened.
 func (a *Agent) recordLease(h *peerpb.HeartbeatAnswer) {
 	until := time.Duration(h.GetLeaseUntil())
@@ -245,9 +258,15 @@
 
 // checkpointBeforeExpiry stores checkpoints of the running attempts when the lease
 // is about to expire, so that they lose no work. An attempt stays paused after its
-// checkpoint and is resumed if the lease is renewed.
+// checkpoint and is resumed if the lease is renewed. The end of a lease that an earlier
+// process of this agent passed on is not known, so the entries first have time to answer.
 func (a *Agent) checkpointBeforeExpiry(ctx context.Context, status worker.Status) {
-	left := a.leaseOf(status.BootID) - status.Uptime
+	lease := a.leaseOf(status.BootID)
+	if lease == 0 && a.sinceBootSeen() < foundRunsWait {
+		return
+	}
+
+	left := lease - status.Uptime
 
 	for _, t := range status.Tasks {
 		if t.Phase != placement.PhaseRunning {
