--- a/entry/leases.go
+++ b/entry/leases.go
@@ -31,7 +31,8 @@
 	version int64
 	epoch   int64
 	body    table.Shard
-	// seen is when this version was first seen, by this entry's clock.
+	// seen is when this version was first seen, by this entry's clock: for the lease of
+	// another entry, not before the version was written.
 	seen time.Time
 	// held is set while this entry holds the lease, at most until validUntil.
 	held       bool
@@ -54,8 +55,6 @@
 // maintainLeases reads the lease rows, renews or yields the leases that the entry
 // holds and takes those that are free.
 func (e *Entry) maintainLeases(ctx context.Context) {
-	readAt := time.Now()
-
 	rows, err := e.table.All(ctx, table.PartitionShard)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -65,7 +64,8 @@
 		return
 	}
 
-	if err := e.applyLeaseRows(readAt, rows); err != nil {
+	// A holder may have renewed its lease at any time up to the answer.
+	if err := e.applyLeaseRows(time.Now(), rows); err != nil {
 		e.log.Error("LeaseUnreadable", zap.Error(err))
 
 		return
@@ -306,7 +306,7 @@
 	}
 
 	for _, j := range jobs {
-		e.scheduler.SetJob(j.spec, j.segments)
+		e.scheduler.SetSegments(j.key, j.segments)
 	}
 
 	e.scheduler.TakeShard(now, dataCentre, epoch, pages)
@@ -315,7 +315,7 @@
 
 // recordedJob is a job with its segments as recorded in the table.
 type recordedJob struct {
-	spec     placement.JobSpec
+	key      string
 	segments []*placement.Segment
 }
 
@@ -349,7 +349,7 @@
 		group.Go(func() error {
 			segments, err := e.jobSegments(ctx, spec.Key)
 			jobs[i] = recordedJob{
-				spec:     spec,
+				key:      spec.Key,
 				segments: segments,
 			}
 
