Don't take runs for lost whose ends a worker has yet to list

Callers saw: a task that ended done started again, and its first end acknowledged after that.

Cause: a worker lists at most 500 ends at a time (PROTOCOL.md, Running tasks). A run whose end was beyond them was neither running nor ended in the listing, and counted as lost. That takes 501 ends that nobody has recorded, as after some seconds without a leader. An agent that restarts then sent a full report which lacked the further ends, and the leader's reconcile took these runs for lost.

A listing that is truncated or has malformed entries isn't complete and ends no run that it lacks. The gate isn't synced by a truncated listing, so that no full report comes from it; until then the agent reports what it knows, since the worker lists more only once these ends are recorded.

Open: a first listing with malformed entries still makes a full report, as before: such an entry may stay, and the worker would take no work for as long.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -76,7 +76,8 @@
 	// Worker is the last announcement. Announced reports whether there was one.
 	Worker    Announcement
 	Announced bool
-	// Synced reports whether a listing of the worker's current incarnation was read.
+	// Synced reports whether a listing of the worker's current incarnation was read that
+	// was not truncated: before it, ends that the leader has to know may not be listed yet.
 	Synced bool
 	// Answering reports whether the last call was answered.
 	Answering bool
@@ -410,7 +411,7 @@
 
 	events := g.handleEnds(l)
 	events = append(events, g.handleRuns(sent, now, token, l)...)
-	g.Synced = true
+	g.Synced = g.Synced || !l.Truncated
 
 	return events
 }
@@ -449,10 +450,14 @@
 		g.handleRun(now, r)
 	}
 
+	if !l.complete() {
+		return nil
+	}
+
 	var events []EndEvent
 
 	for t, e := range g.Runs {
-		if running[t] || len(l.Malformed) > 0 {
+		if running[t] {
 			continue
 		}
 
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -358,3 +358,64 @@
 	assert.Equal(t, len(g.HandleListing(time.Second, time.Second, g.Token, l)), 1)
 	assert.Equal(t, len(g.Runs), 0)
 }
+
+// TestTruncatedListing guards against a task that is started again although it ended: a run
+// whose end is beyond those that a worker lists at a time counted as lost.
+func TestTruncatedListing(t *testing.T) {
+	end := End{
+		Number:  501,
+		Task:    taskA,
+		Attempt: 1,
+		Reason:  Done,
+	}
+
+	tests := map[string]func(*Gate){
+		"Running": func(*Gate) {},
+		"InDoubt": func(g *Gate) {
+			g.Runs[taskA].Phase = InDoubt
+			g.RaiseToken(0)
+		},
+		"Restarted": func(g *Gate) { g.HandleAnnouncement(0, announcement(2, 1)) },
+	}
+
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := runningGate(t)
+			prepare(g)
+
+			l := Listing{
+				Incarnation: g.Worker.Incarnation,
+				Clock:       2 * time.Second,
+				Truncated:   true,
+			}
+			g.ExtendLease(time.Second)
+			assert.Equal(t, len(g.HandleListing(time.Second, time.Second, g.Token, l)), 0)
+			assert.Equal(t, len(g.Runs), 1)
+
+			events := g.list(2*time.Second, nil, []End{end})
+			assert.Equal(t, len(events), 1)
+			assert.Equal(t, events[0].Reason, Done)
+		})
+	}
+}
+
+// TestFirstListingTruncated guards against a full report that lacks ends: the leader takes
+// the runs that it names neither as running nor as ended for lost.
+func TestFirstListingTruncated(t *testing.T) {
+	g := New()
+	g.HandleAnnouncement(0, announcement(1, 1))
+	g.RaiseToken(time.Second)
+
+	l := Listing{
+		Incarnation: g.Worker.Incarnation,
+		Clock:       time.Second,
+		Truncated:   true,
+	}
+	g.HandleListing(0, 0, g.Token, l)
+	assert.Assert(t, !g.Synced)
+	assert.Assert(t, g.Answering)
+
+	l.Truncated = false
+	g.HandleListing(0, 0, g.Token, l)
+	assert.Assert(t, g.Synced)
+}
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -125,11 +125,17 @@
 	Clock   time.Duration
 	Running []Run
 	Ended   []End
-	// Malformed describes the entries that could not be decoded. The others are served;
-	// but no run counts as ended because it isn't listed, since it may be among these.
+	// Malformed describes the entries that could not be decoded. The others are served.
 	Malformed []string
+	// Truncated reports that there may be further ends, which the worker lists once these
+	// are acknowledged.
+	Truncated bool
 }
 
+// complete reports whether a run that isn't listed has ended: in an incomplete listing, it
+// may be among the entries that are missing.
+func (l Listing) complete() bool { return !l.Truncated && len(l.Malformed) == 0 }
+
 // StartOrder is an order to start an attempt.
 type StartOrder struct {
 	Task       job.TaskID
--- a/integration/platform_restart_test.go
+++ b/integration/platform_restart_test.go
@@ -92,6 +92,59 @@
 	}
 }
 
+// TestHostedManyEnds checks that no task runs again although it succeeded while its end was
+// beyond those that a worker lists at a time, because no entry could record any.
+func TestHostedManyEnds(t *testing.T) {
+	t.Parallel()
+
+	const (
+		count    = 700
+		duration = 2 * time.Second
+	)
+
+	tests := map[string]struct {
+		network      int
+		restartAgent bool
+	}{
+		"AgentStays":    {71, false},
+		"AgentRestarts": {72, true},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			h := startHosted(t, c.network, 1, 1)
+			h.planRuns(duration)
+
+			id := h.submit(job.Step{
+				Count: count,
+				Size: job.Size{
+					MilliCores: 1,
+					MemoryMB:   1,
+				},
+			})
+
+			for limit := time.Now().Add(finishTimeout); h.checker.StartCount(id) < count; time.Sleep(pollInterval) {
+				assert.Assert(t, time.Now().Before(limit), "%d starts", h.checker.StartCount(id))
+			}
+
+			h.kill(h.entries[0])
+			time.Sleep(duration)
+
+			if c.restartAgent {
+				h.kill(h.agents[0])
+				h.start(h.agents[0])
+			}
+
+			h.start(h.entries[0])
+			h.awaitState("succeeded", id)
+			h.checkViolations()
+			assert.Equal(t, h.checker.StartCount(id), count)
+		})
+	}
+}
+
 // TestHostedTerminationAtStart checks that a process that gets a SIGTERM while it starts
 // ends gracefully, unless it has logged nothing yet: signals can't be handled before.
 func TestHostedTerminationAtStart(t *testing.T) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -238,7 +238,7 @@
 }
 
 // sendFullReport reports the complete state, which a leader needs before it sends
-// orders.
+// orders, or what is known of it before it is complete.
 func (s *Sidecar) sendFullReport() {
 	var runs []peer.TaskRun
 	for t, e := range s.gate.Runs {
@@ -256,13 +256,14 @@
 		})
 	}
 
-	if !s.gate.Synced {
+	if !s.gate.Synced && len(events) == 0 {
 		// What runs is unknown until a listing is read; the full report is sent then.
 		return
 	}
 
+	// The worker lists further ends only once the leader has recorded these.
 	s.send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{
-		WorkerReport: peer.EncodeReport(true, s.gate, runs, events),
+		WorkerReport: peer.EncodeReport(s.gate.Synced, s.gate, runs, events),
 	}})
 }
 
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -281,7 +281,10 @@
 // maxLease bounds how far a lease extends beyond the worker's clock when it is renewed.
 const maxLease = 6 * time.Second
 
-// addLists adds the running attempts and the ends with numbers above seen to body,
+// maxListedEnds is the number of ends that a response lists at a time.
+const maxListedEnds = 500
+
+// addLists adds the running attempts and the first ends with numbers above seen to body,
 // and drops the ends up to seen, which this acknowledges.
 func (w *Worker) addLists(seen int64, body map[string]any) {
 	running := [][]any{}
@@ -296,7 +299,10 @@
 	for _, e := range w.ends {
 		if e.number > seen {
 			kept = append(kept, e)
-			finished = append(finished, []any{e.number, e.task.String(), e.attempt, e.reason, ""})
+
+			if len(finished) < maxListedEnds {
+				finished = append(finished, []any{e.number, e.task.String(), e.attempt, e.reason, ""})
+			}
 		} else if e.reason == endDone && !e.lapsed {
 			w.Checker.RecordAcknowledgement(w.ID, e.task, e.attempt)
 		}
