Don't take a worker's notice of its exit for the end of its runs

Callers saw: a task started on another worker while the first still ran it, after the first had sent the notice that it leaves and left a call unanswered.

Cause: after DELETE /trefoildeck/instances/ID, one unanswered call ended all runs at once. But a lost answer is one too while the worker still ends its work, and the notice names no incarnation: one of an earlier incarnation, handled after the new one's announcement by an agent that was paused, marked the new one as leaving.

Fix: the notice only means that nothing more is started there, until the worker's next announcement. Its runs end as those of any other worker do: by a listing, a lapsed lease, a newer incarnation, or refused connections, which a worker that has ended answers with at once, so that a true exit costs no wait.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -92,8 +92,6 @@
 	Recorded     int64
 	acknowledged int64
 
-	// leaving reports that the worker announced its planned exit.
-	leaving bool
 	// lastEnd is the number of the last listed end.
 	lastEnd int64
 	// leaseDeadline is the latest deadline that was granted to the runs.
@@ -122,7 +120,6 @@
 		changed := a.Draining != g.Worker.Draining || a.Capacity != g.Worker.Capacity ||
 			!slices.Equal(a.Labels, g.Worker.Labels)
 		g.Worker = a
-		g.leaving = false
 
 		return changed
 	}
@@ -138,14 +135,14 @@
 }
 
 // HandleLeave applies a worker's notice of its planned exit. It reports whether the
-// notice concerns this worker.
+// notice concerns this worker. Nothing has ended yet: the worker may still run, and the
+// notice names no incarnation, so that it may come from an earlier one.
 func (g *Gate) HandleLeave(id string) bool {
 	if !g.Announced || g.Worker.ID != id {
 		return false
 	}
 
 	g.Worker.Draining = true
-	g.leaving = true
 
 	return true
 }
@@ -164,7 +161,7 @@
 	g.Announced = true
 	g.Unrecorded = nil
 	g.Recorded, g.lastEnd, g.acknowledged = 0, 0, 0
-	g.Synced, g.Answering, g.leaving = false, false, false
+	g.Synced, g.Answering = false, false
 	// An order that reached this incarnation granted the longest lease at most.
 	g.leaseDeadline, g.clock, g.clockReadAt = MaxLeaseExtension, 0, now
 
@@ -528,12 +525,12 @@
 	})
 }
 
-// HandleUnanswered records that a call went unanswered. It returns what ended, either
-// because its lease has certainly lapsed or because the worker had announced its exit.
+// HandleUnanswered records that a call went unanswered. It returns what ended because its
+// lease has certainly lapsed.
 func (g *Gate) HandleUnanswered(now time.Duration) []EndEvent {
 	g.Answering = false
 
-	if len(g.Runs) == 0 || (!g.leaving && !g.leasesLapsed(now)) {
+	if len(g.Runs) == 0 || !g.leasesLapsed(now) {
 		return nil
 	}
 
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"trefoildeck/core/job"
 	"trefoildeck/io/rows"
+	"trefoildeck/standin/emulator"
 
 	"gotest.tools/v3/assert"
 )
@@ -246,6 +248,53 @@
 	h.checkViolations()
 }
 
+// TestHostedLeaveNotice checks that a task runs once if its worker leaves calls unanswered
+// for a second after a notice of its exit, and runs on: its runs counted as ended at once.
+func TestHostedLeaveNotice(t *testing.T) {
+	t.Parallel()
+
+	h := startHosted(t, 73, 1, 2)
+	h.planRuns(3 * time.Second)
+
+	id := h.submit(job.Step{
+		Count: 1,
+		Size:  job.Size{MilliCores: 900},
+	})
+	h.awaitState("running", id)
+
+	i := slices.IndexFunc(h.workers, func(w *emulator.Worker) bool { return h.checker.StartsOn(w.ID) > 0 })
+
+	var silent sync.Once
+
+	answers := make(chan struct{})
+	h.workers[i].LoseAnswer = func(path string) (bool, time.Duration) {
+		silent.Do(func() { time.AfterFunc(time.Second, func() { close(answers) }) })
+
+		select {
+		case <-answers:
+			return false, 0
+		default:
+			return path == "/trefoildeck/hold", 0
+		}
+	}
+
+	// The next announcement of the worker takes the notice back.
+	for waiting := true; waiting; {
+		select {
+		case <-answers:
+			waiting = false
+		default:
+		}
+
+		assert.NilError(t, h.workers[i].NotifyLeave(t.Context(), fmt.Sprintf("127.73.2.%d:8082", i+1)))
+		time.Sleep(5 * time.Millisecond)
+	}
+
+	h.awaitState("succeeded", id)
+	h.checkViolations()
+	assert.Equal(t, h.checker.StartCount(id), 1)
+}
+
 // TestHostedTermination checks that a leader that receives SIGTERM hands over, so that
 // jobs are accepted and succeed, and that it exits with status 0.
 func TestHostedTermination(t *testing.T) {
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -155,6 +156,23 @@
 	}
 }
 
+// NotifyLeave sends the notice of the worker's exit to the agent at address control. The
+// worker runs on, as it does until its process ends, or if the notice is from an earlier
+// incarnation.
+func (w *Worker) NotifyLeave(ctx context.Context, control string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+control+"/trefoildeck/instances/"+w.ID, http.NoBody)
+	if err != nil {
+		return fmt.Errorf("make notice: %w", err)
+	}
+
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return fmt.Errorf("send notice: %w", err)
+	}
+
+	return a.Body.Close()
+}
+
 // ServeHTTP implements http.Handler for the orders of the agent.
 func (w *Worker) ServeHTTP(a http.ResponseWriter, r *http.Request) {
 	var o wireOrder
