Notice a worker's restart after its time of day stepped back

Callers saw: tasks of a worker that restarted under its ID counted as running for good, and the ends of those it was given later were never recorded.

Cause: a listing or an announcement whose start time (born) is below the known one counted as a delayed one of an earlier incarnation. The time of day may jump backward (DEPLOY.md), so the later incarnation may have the earlier start time. All its listings were ignored: the runs of before stayed confirmed, their lease counted as extended by each answered call, and what ended was not read.

Evidence: TestTimeOfDaySteppedBack failed before: the gate kept start time 1 after a listing with start time 0 that was asked for a second later. Unit tests only: no run of processes with such a step was made.

Fix: an answer to a call that was sent after the gate learned of an incarnation can't come from the one before it, whatever its start time. A listing that may have been overtaken (sent before) changes nothing, as TestOvertakenListing checks. Announcements with a lower start time are still ignored, since they may be delayed; the next listing shows which incarnation runs. A delayed announcement of the later start time takes the gate back to the earlier incarnation until the next listing; runs are in doubt meanwhile, and none ends.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -92,6 +92,8 @@
 	Recorded     int64
 	acknowledged int64
 
+	// learnedAt is when the gate learned of the worker's current incarnation.
+	learnedAt time.Duration
 	// lastEnd is the number of the last listed end.
 	lastEnd int64
 	// leaseDeadline is the latest deadline that was granted to the runs.
@@ -125,7 +127,8 @@
 	}
 
 	if g.Announced && a.Born < g.Worker.Born {
-		// A delayed announcement of an earlier incarnation.
+		// A delayed announcement of an earlier incarnation, or one of a later incarnation
+		// after the time of day stepped back, which the next listing shows.
 		return false
 	}
 
@@ -157,7 +160,7 @@
 	}
 
 	restarted := g.Announced
-	g.Worker = a
+	g.Worker, g.learnedAt = a, now
 	g.Announced = true
 	g.Unrecorded = nil
 	g.Recorded, g.lastEnd, g.acknowledged = 0, 0, 0
@@ -382,7 +385,10 @@
 	}
 
 	if l.Born != g.Worker.Born {
-		if l.Born > g.Worker.Born {
+		// The time of day may have stepped back, so that the later incarnation has the
+		// earlier start time: an answer to a call that was sent after the gate learned of
+		// an incarnation can't come from the one before it.
+		if l.Born > g.Worker.Born || sent > g.learnedAt {
 			// The worker restarted under its ID and has not announced it yet. This
 			// listing may be older than an order in flight.
 			worker := g.Worker
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -282,6 +282,59 @@
 	assert.Equal(t, g.Worker.Born, int64(1))
 }
 
+// TestTimeOfDaySteppedBack guards against runs that count as running for good: an incarnation
+// that started at an earlier time of day than the one before it was ignored.
+func TestTimeOfDaySteppedBack(t *testing.T) {
+	g := runningGate(t)
+	restarted := Incarnation{
+		ID:   "i-1",
+		Born: 0,
+	}
+	listing := func(running ...Run) Listing {
+		return Listing{
+			Incarnation: restarted,
+			Clock:       10 * time.Millisecond,
+			Running:     running,
+		}
+	}
+
+	g.HandleListing(time.Second, time.Second, g.Token, listing())
+	assert.Equal(t, g.Worker.Born, restarted.Born)
+	assert.Equal(t, g.Admit(time.Second, StartOrder{}), WorkerUnknown)
+
+	events := g.HandleListing(2*time.Second, 2*time.Second, g.Token, listing())
+	assert.Equal(t, len(events), 1)
+	assert.Equal(t, events[0].Reason, Lost)
+
+	g.HandleAnnouncement(3*time.Second, announcement(0, 1))
+	assert.Equal(t, g.Worker.Sequence, int64(1))
+
+	// A delayed announcement of the incarnation before is taken back by the next listing.
+	run := Run{
+		Task:    taskA,
+		Attempt: 2,
+	}
+	g.HandleListing(3*time.Second, 3*time.Second, g.Token, listing(run))
+	g.HandleAnnouncement(4*time.Second, announcement(1, 9))
+	assert.Equal(t, g.Worker.Born, int64(1))
+
+	for now := 5 * time.Second; now < 7*time.Second; now += time.Second {
+		assert.Equal(t, len(g.HandleListing(now, now, g.Token, listing(run))), 0)
+	}
+
+	assert.Equal(t, g.Worker.Born, restarted.Born)
+	assert.Equal(t, g.Runs[taskA].Phase, Confirmed)
+}
+
+// TestOvertakenListing checks that a listing which an earlier incarnation may have answered
+// changes nothing.
+func TestOvertakenListing(t *testing.T) {
+	g := runningGate(t)
+	g.HandleAnnouncement(2*time.Second, announcement(2, 1))
+	g.HandleListing(time.Second, 3*time.Second, g.Token, Listing{Incarnation: announcement(1, 1).Incarnation})
+	assert.Equal(t, g.Worker.Born, int64(2))
+}
+
 // TestStalled checks when a run counts as making no progress.
 func TestStalled(t *testing.T) {
 	tests := map[string]struct {
