--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -76,7 +76,8 @@
 	// Worker is the last announcement. Announced reports whether there was one.
 	Worker    Announcement
 	Announced bool
-	// Synced reports whether a listing of the worker's current incarnation was read.
+	// Synced reports whether a listing of the worker's current incarnation was read that
+	// was not truncated: before it, ends that the leader has to know may not be listed yet.
 	Synced bool
 	// Answering reports whether the last call was answered.
 	Answering bool
@@ -93,8 +94,8 @@
 	Recorded     int64
 	acknowledged int64
 
-	// leaving reports that the worker announced its planned exit.
-	leaving bool
+	// learnedAt is when the gate learned of the worker's current incarnation.
+	learnedAt time.Duration
 	// lastEnd is the number of the last listed end.
 	lastEnd int64
 	// leaseDeadline is the latest deadline that may have been granted to the runs, by this
@@ -125,13 +126,13 @@
 		changed := a.Draining != g.Worker.Draining || a.Capacity != g.Worker.Capacity ||
 			!slices.Equal(a.Labels, g.Worker.Labels)
 		g.Worker = a
-		g.leaving = false
 
 		return changed
 	}
 
 	if g.Announced && a.Born < g.Worker.Born {
-		// A delayed announcement of an earlier incarnation.
+		// A delayed announcement of an earlier incarnation, or one of a later incarnation
+		// after the time of day stepped back, which the next listing shows.
 		return false
 	}
 
@@ -141,14 +142,14 @@
 }
 
 // HandleLeave applies a worker's notice of its planned exit. It reports whether the
-// notice concerns this worker.
+// notice concerns this worker. Nothing has ended yet: the worker may still run, and the
+// notice names no incarnation, so that it may come from an earlier one.
 func (g *Gate) HandleLeave(id string) bool {
 	if !g.Announced || g.Worker.ID != id {
 		return false
 	}
 
 	g.Worker.Draining = true
-	g.leaving = true
 
 	return true
 }
@@ -163,11 +164,11 @@
 	}
 
 	restarted := g.Announced
-	g.Worker = a
+	g.Worker, g.learnedAt = a, now
 	g.Announced = true
 	g.Unrecorded = nil
 	g.Recorded, g.lastEnd, g.acknowledged = 0, 0, 0
-	g.Synced, g.Answering, g.leaving = false, false, false
+	g.Synced, g.Answering = false, false
 	g.fencedCalls = 0
 	g.clock, g.clockReadAt = 0, now
 	g.assumeLongestLease()
@@ -425,7 +426,10 @@
 	}
 
 	if l.Born != g.Worker.Born {
-		if l.Born > g.Worker.Born {
+		// The time of day may have stepped back, so that the later incarnation has the
+		// earlier start time: an answer to a call that was sent after the gate learned of
+		// an incarnation can't come from the one before it.
+		if l.Born > g.Worker.Born || sent > g.learnedAt {
 			// The worker restarted under its ID and has not announced it yet. This
 			// listing may be older than an order in flight.
 			worker := g.Worker
@@ -446,7 +450,7 @@
 
 	switch {
 	case g.Synced:
-	case len(l.Running) == 0 && len(l.Malformed) == 0:
+	case len(l.Running) == 0 && l.complete():
 		// No run holds an earlier lease, and the token fences earlier orders off.
 		g.leaseDeadline = 0
 	default:
@@ -455,7 +459,7 @@
 
 	events := g.handleEnds(l)
 	events = append(events, g.handleRuns(sent, now, token, l)...)
-	g.Synced = true
+	g.Synced = g.Synced || !l.Truncated
 
 	return events
 }
@@ -494,10 +498,14 @@
 		g.handleRun(now, r)
 	}
 
+	if !l.complete() {
+		return nil
+	}
+
 	var events []EndEvent
 
 	for t, e := range g.Runs {
-		if running[t] || len(l.Malformed) > 0 {
+		if running[t] {
 			continue
 		}
 
@@ -568,12 +576,12 @@
 	})
 }
 
-// HandleUnanswered records that a call went unanswered. It returns what ended, either
-// because its lease has certainly lapsed or because the worker had announced its exit.
+// HandleUnanswered records that a call went unanswered. It returns what ended because its
+// lease has certainly lapsed.
 func (g *Gate) HandleUnanswered(now time.Duration) []EndEvent {
 	g.Answering = false
 
-	if len(g.Runs) == 0 || (!g.leaving && !g.leasesLapsed(now)) {
+	if len(g.Runs) == 0 || !g.leasesLapsed(now) {
 		return nil
 	}
 
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -164,7 +164,7 @@
 }
 
 // TestUnansweredWorker checks when the runs of a worker that does not answer count as
-// ended: once its leases have certainly lapsed, or at once after a planned exit.
+// ended: once its leases have certainly lapsed, also if it announced its exit.
 func TestUnansweredWorker(t *testing.T) {
 	tests := map[string]struct {
 		prepare func(*Gate)
@@ -184,7 +184,10 @@
 				g.ExtendLease(now)
 			}
 		}, LeaseExtension + LeaseExtension/ClockDriftDivisor + 200*time.Millisecond, 1},
-		"Left": {func(g *Gate) { g.HandleLeave("i-1") }, 0, 1},
+		// The worker may still run when it has announced its exit, and the notice may come
+		// from an earlier incarnation.
+		"Left":       {func(g *Gate) { g.HandleLeave("i-1") }, LeaseExtension, 0},
+		"LeftLapsed": {func(g *Gate) { g.HandleLeave("i-1") }, LeaseExtension + LeaseExtension/ClockDriftDivisor + 200*time.Millisecond, 1},
 		"Returned": {func(g *Gate) {
 			g.HandleLeave("i-1")
 			g.HandleAnnouncement(0, announcement(1, 2))
@@ -295,6 +298,59 @@
 	assert.Equal(t, g.Worker.Born, int64(1))
 }
 
+// TestTimeOfDaySteppedBack guards against runs that count as running for good: an incarnation
+// that started at an earlier time of day than the one before it was ignored.
+func TestTimeOfDaySteppedBack(t *testing.T) {
+	g := runningGate(t)
+	restarted := Incarnation{
+		ID:   "i-1",
+		Born: 0,
+	}
+	listing := func(running ...Run) Listing {
+		return Listing{
+			Incarnation: restarted,
+			Clock:       10 * time.Millisecond,
+			Running:     running,
+		}
+	}
+
+	g.HandleListing(time.Second, time.Second, g.Token, listing())
+	assert.Equal(t, g.Worker.Born, restarted.Born)
+	assert.Equal(t, g.Admit(time.Second, StartOrder{}), WorkerUnknown)
+
+	events := g.HandleListing(2*time.Second, 2*time.Second, g.Token, listing())
+	assert.Equal(t, len(events), 1)
+	assert.Equal(t, events[0].Reason, Lost)
+
+	g.HandleAnnouncement(3*time.Second, announcement(0, 1))
+	assert.Equal(t, g.Worker.Sequence, int64(1))
+
+	// A delayed announcement of the incarnation before is taken back by the next listing.
+	run := Run{
+		Task:    taskA,
+		Attempt: 2,
+	}
+	g.HandleListing(3*time.Second, 3*time.Second, g.Token, listing(run))
+	g.HandleAnnouncement(4*time.Second, announcement(1, 9))
+	assert.Equal(t, g.Worker.Born, int64(1))
+
+	for now := 5 * time.Second; now < 7*time.Second; now += time.Second {
+		assert.Equal(t, len(g.HandleListing(now, now, g.Token, listing(run))), 0)
+	}
+
+	assert.Equal(t, g.Worker.Born, restarted.Born)
+	assert.Equal(t, g.Runs[taskA].Phase, Confirmed)
+}
+
+// TestOvertakenListing checks that a listing which an earlier incarnation may have answered
+// changes nothing.
+func TestOvertakenListing(t *testing.T) {
+	g := runningGate(t)
+	g.HandleAnnouncement(2*time.Second, announcement(2, 1))
+	g.HandleListing(time.Second, 3*time.Second, g.Token, Listing{Incarnation: announcement(1, 1).Incarnation})
+	assert.Equal(t, g.Worker.Born, int64(2))
+}
+
 // TestStalled checks when a run counts as making no progress.
 func TestStalled(t *testing.T) {
 	tests := map[string]struct {
@@ -417,3 +473,64 @@
 		})
 	}
 }
+
+// TestTruncatedListing guards against a task that is started again although it ended: a run
+// whose end is beyond those that a worker lists at a time counted as lost.
+func TestTruncatedListing(t *testing.T) {
+	end := End{
+		Number:  501,
+		Task:    taskA,
+		Attempt: 1,
+		Reason:  Done,
+	}
+
+	tests := map[string]func(*Gate){
+		"Running": func(*Gate) {},
+		"InDoubt": func(g *Gate) {
+			g.Runs[taskA].Phase = InDoubt
+			g.RaiseToken(0)
+		},
+		"Restarted": func(g *Gate) { g.HandleAnnouncement(0, announcement(2, 1)) },
+	}
+
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := runningGate(t)
+			prepare(g)
+
+			l := Listing{
+				Incarnation: g.Worker.Incarnation,
+				Clock:       2 * time.Second,
+				Truncated:   true,
+			}
+			g.ExtendLease(time.Second)
+			assert.Equal(t, len(g.HandleListing(time.Second, time.Second, g.Token, l)), 0)
+			assert.Equal(t, len(g.Runs), 1)
+
+			events := g.list(2*time.Second, nil, []End{end})
+			assert.Equal(t, len(events), 1)
+			assert.Equal(t, events[0].Reason, Done)
+		})
+	}
+}
+
+// TestFirstListingTruncated guards against a full report that lacks ends: the leader takes
+// the runs that it names neither as running nor as ended for lost.
+func TestFirstListingTruncated(t *testing.T) {
+	g := New()
+	g.HandleAnnouncement(0, announcement(1, 1))
+	g.RaiseToken(time.Second)
+
+	l := Listing{
+		Incarnation: g.Worker.Incarnation,
+		Clock:       time.Second,
+		Truncated:   true,
+	}
+	g.HandleListing(0, 0, g.Token, l)
+	assert.Assert(t, !g.Synced)
+	assert.Assert(t, g.Answering)
+
+	l.Truncated = false
+	g.HandleListing(0, 0, g.Token, l)
+	assert.Assert(t, g.Synced)
+}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -176,6 +177,23 @@
 	}
 }
 
+// NotifyLeave sends the notice of the worker's exit to the agent at address control. The
+// worker runs on, as it does until its process ends, or if the notice is from an earlier
+// incarnation.
+func (w *Worker) NotifyLeave(ctx context.Context, control string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+control+"/trefoildeck/instances/"+w.ID, http.NoBody)
+	if err != nil {
+		return fmt.Errorf("make notice: %w", err)
+	}
+
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return fmt.Errorf("send notice: %w", err)
+	}
+
+	return a.Body.Close()
+}
+
 // ServeHTTP implements http.Handler for the orders of the agent.
 func (w *Worker) ServeHTTP(a http.ResponseWriter, r *http.Request) {
 	var o wireOrder
@@ -304,7 +322,10 @@
 // maxLease bounds how far a lease extends beyond the worker's clock when it is renewed.
 const maxLease = 6 * time.Second
 
-// addLists adds the running attempts and the ends with numbers above seen to body,
+// maxListedEnds is the number of ends that a response lists at a time.
+const maxListedEnds = 500
+
+// addLists adds the running attempts and the first ends with numbers above seen to body,
 // and drops the ends up to seen, which this acknowledges.
 func (w *Worker) addLists(seen int64, body map[string]any) {
 	running := [][]any{}
@@ -319,7 +340,10 @@
 	for _, e := range w.ends {
 		if e.number > seen {
 			kept = append(kept, e)
-			finished = append(finished, []any{e.number, e.task.String(), e.attempt, e.reason, ""})
+
+			if len(finished) < maxListedEnds {
+				finished = append(finished, []any{e.number, e.task.String(), e.attempt, e.reason, ""})
+			}
 		} else if e.reason == endDone && !e.lapsed {
 			w.Checker.RecordAcknowledgement(w.ID, e.task, e.attempt)
 		}
