Count a job as pending until a worker is known to have started it

Cause: a job counted as started when a start of it was reported in doubt, when one in flight was lost or lapsed, and, for a new leader, when any progress of it was stored, which is also written after such an end.

Evidence: before, TestPendingInDoubt gave

--- FAIL: TestPendingInDoubt/Lapsed restart_test.go:254: assertion failed: 0 (int) != 1 (c.pending int) --- FAIL: TestPendingInDoubt/LapsedReloaded restart_test.go:254: assertion failed: 0 (int) != 1 (c.pending int) --- FAIL: TestPendingInDoubt/InDoubt restart_test.go:254: assertion failed: 0 (int) != 1 (c.pending int)

Now it is started if its worker listed a run or an end of it, or if its stored progress has a finished or failed task or a checkpoint.

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -229,7 +229,9 @@
 		t.checkpoint = e.Checkpoint
 	}
 
-	if e.Reason != gate.NotRun {
+	// An end without a number was not listed by the worker: the start may have been in
+	// flight or in doubt.
+	if e.Number > 0 {
 		j.started = true
 	}
 
--- a/core/fleet/progress.go
+++ b/core/fleet/progress.go
@@ -80,10 +80,9 @@
 		}
 
 		j.steps[i].restore(sp)
+		j.started = j.started || len(sp.Done)+len(sp.Notes) > 0
 	}
 
-	j.started = j.started || len(p.Steps) > 0
-
 	return nil
 }
 
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -198,3 +198,60 @@
 	f.Report(0, "n1", r)
 	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 0)
 }
+
+// TestPendingInDoubt checks that a job counts as pending until its worker is known to have
+// started a task of it. Those whose starts went unanswered or got lost did not count.
+func TestPendingInDoubt(t *testing.T) {
+	report := func(confirmed bool) func(*testing.T, *Fleet) *Fleet {
+		return func(_ *testing.T, f *Fleet) *Fleet {
+			r := described("n1")
+			r.Runs = []gate.Run{{
+				Task:       job.TaskID{Job: jobA},
+				Attempt:    1,
+				OrderKnown: true,
+				Confirmed:  confirmed,
+			}}
+			f.Report(0, "n1", r)
+
+			return f
+		}
+	}
+	ended := func(number int64, reason gate.EndReason) func(*testing.T, *Fleet) *Fleet {
+		return func(_ *testing.T, f *Fleet) *Fleet {
+			f.RecordEnd(0, "n1", end("n1", number, jobA, 1, reason).End)
+
+			return f
+		}
+	}
+	reloaded := func(end func(*testing.T, *Fleet) *Fleet) func(*testing.T, *Fleet) *Fleet {
+		return func(t *testing.T, f *Fleet) *Fleet {
+			t.Helper()
+
+			b, err := end(t, f).Changes(10)
+			assert.NilError(t, err)
+
+			g := New(2)
+			assert.NilError(t, g.Load(0, 0, record(jobA, step(1)), b.Progress[jobA], false))
+
+			return g
+		}
+	}
+
+	tests := map[string]struct {
+		change  func(*testing.T, *Fleet) *Fleet
+		pending int
+	}{
+		"Listed":         {report(true), 0},
+		"InDoubt":        {report(false), 1},
+		"Failed":         {ended(1, gate.Failed), 0},
+		"Lapsed":         {ended(0, gate.Lapsed), 1},
+		"FailedReloaded": {reloaded(ended(1, gate.Failed)), 0},
+		"LapsedReloaded": {reloaded(ended(0, gate.Lapsed)), 1},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, c.change(t, runningFleet(t)).Pending("tints"), c.pending)
+		})
+	}
+}
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -202,7 +202,7 @@
 		return
 	}
 
-	j.started = true
+	j.started = j.started || g.Confirmed
 
 	if g.Checkpoint != "" {
 		t.checkpoint = g.Checkpoint
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -63,6 +63,9 @@
 	// OrderKnown reports whether the sidecar has the run's order, and so its size. The
 	// worker does not list it.
 	OrderKnown bool
+	// Confirmed reports whether the worker runs the attempt; otherwise its start is in
+	// flight or in doubt. The worker does not list it.
+	Confirmed bool
 }
 
 // EndReason is the way in which a run ended.
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -97,6 +97,7 @@
 			PacePercent:     int(w.GetPace()),
 			Stalled:         w.GetStalled(),
 			OrderKnown:      w.GetOrderKnown(),
+			Confirmed:       w.GetConfirmed(),
 		})
 	}
 
