Take no run for lost while its order may be on its way

Callers could have seen a task run twice.

Cause: the leader took each run that a full report did not list for lost, and started the task again. A sidecar sends such a report not only at the start of a session but also once it lists its worker again after it had given it up. An order that was sent before and arrives after that, over a link that loses packets or from a slow leader, was still carried out.

Evidence: before, TestOrderInFlight gave

--- FAIL: TestOrderInFlight (0.00s) restart_test.go:266: assertion failed: 1 (int) != 0 (int)

Now only the first full report of a session ends the runs that it does not list. Within a session, all ends are reported one by one; those that the sidecar left to such a report come with it (TestUnlistedEnds, 0 ends without that).

--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -255,3 +255,17 @@
 		})
 	}
 }
+
+// TestOrderInFlight checks that a full report within a session ends no run: the order may
+// still be on its way. The task was started elsewhere as well.
+func TestOrderInFlight(t *testing.T) {
+	f := runningFleet(t)
+	f.Report(0, "n2", described("n2"))
+
+	f.Report(0, "n1", described("n1"))
+	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 0)
+
+	f.Disconnected("n1")
+	f.Report(0, "n1", described("n1"))
+	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 1)
+}
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -138,6 +138,7 @@
 	}
 
 	w.headroomsStale = true
+	reconnected := r.Full && !w.connected
 	// Set before the runs are processed, since a disconnected worker is sent no stops.
 	w.connected = w.connected || r.Full
 
@@ -171,6 +172,9 @@
 
 	if r.Full {
 		delete(f.unreported, node)
+	}
+
+	if reconnected {
 		f.reconcile(now, w, r)
 	}
 }
@@ -230,8 +234,9 @@
 	}
 }
 
-// reconcile records as lost the runs that a full report lists neither as running
-// nor as ended.
+// reconcile records as lost the runs that the first full report of a session lists neither
+// as running nor as ended. Within a session each end is reported, and an order may be on its
+// way when the node sends a full report.
 func (f *Fleet) reconcile(now time.Duration, w *workerInfo, r Report) {
 	listed := make(map[job.TaskID]bool, len(r.Runs))
 	for _, g := range r.Runs {
--- a/sidecar/malformed_test.go
+++ b/sidecar/malformed_test.go
@@ -73,7 +73,7 @@
 
 		s.learner.Observe(s.gate.Sample(0))
 		s.gate.Pace(s.gate.Sample(0), s.learner)
-		s.sendFullReport()
+		s.sendFullReport(nil)
 		s.sendStatus()
 	})
 }
--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -8,10 +10,14 @@
 	"time"
 
 	"trefoildeck/core/gate"
+	"trefoildeck/core/job"
+	"trefoildeck/io/peer"
+	"trefoildeck/io/peer/peerpb"
 	"trefoildeck/settings"
 	"trefoildeck/standin/emulator"
 
 	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
 )
 
 // startWorker returns a worker without runs and its announcement.
@@ -93,3 +99,85 @@
 		})
 	}
 }
+
+// connectLeader opens a session of a leader with a sidecar. The channel gets its reports.
+func connectLeader(t *testing.T, s *Sidecar) <-chan *peerpb.WorkerReport {
+	t.Helper()
+
+	var c net.ListenConfig
+
+	listener, err := c.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+
+	reports, open := make(chan *peerpb.WorkerReport, 10), make(chan struct{})
+	server := peer.Server{
+		OnOpen: func(p *peer.Session) error {
+			defer close(open)
+
+			return s.acceptLeader(p)
+		},
+		OnFrame: s.handleFrame,
+		OnClose: s.dropLeader,
+		OnError: func(string, error) {},
+	}
+	link := peer.Link{
+		Address: netip.MustParseAddrPort(listener.Addr().String()),
+		Hello:   func() *peerpb.Hello { return &peerpb.Hello{Role: peer.RoleLeader} },
+		OnOpen:  func(*peer.Session) {},
+		OnFrame: func(_ *peer.Session, f *peerpb.Frame) {
+			if r := f.GetWorkerReport(); r != nil {
+				reports <- r
+			}
+		},
+		OnClose: func(*peer.Session) {},
+		OnError: func(error) {},
+	}
+
+	go func() { assert.Check(t, server.Serve(t.Context(), listener)) }()
+	go link.Run(t.Context())
+	<-open
+
+	return reports
+}
+
+// TestUnlistedEnds checks that the first listing of a restarted worker reports the end of a
+// run that it doesn't list, together with the full report: a leader that is connected takes
+// no run for lost because it is not in there.
+func TestUnlistedEnds(t *testing.T) {
+	w, a := startWorker("i-1", time.Second)
+	server := httptest.NewServer(w)
+	defer server.Close()
+
+	s := newTestSidecar(t, server)
+	s.handleAnnouncement(a)
+
+	list := func() {
+		for !s.gate.Synced {
+			s.listOnce(context.Background())
+		}
+	}
+	list()
+
+	reports := connectLeader(t, s)
+	assert.Assert(t, (<-reports).GetFull())
+
+	task := job.TaskID{Job: "00000000000000aa"}
+	s.gate.Reserve(0, gate.StartOrder{
+		Task:    task,
+		Attempt: 1,
+	})
+	s.gate.Confirm(0, task, 1)
+
+	time.Sleep(2 * time.Millisecond)
+	w.Start()
+	a.Born = w.Born()
+	s.handleAnnouncement(a)
+	list()
+
+	assert.Assert(t, !(<-reports).GetFull(), "the announcement")
+
+	r := <-reports
+	assert.Assert(t, r.GetFull())
+	assert.Equal(t, len(r.GetEnds()), 1)
+	assert.Equal(t, r.GetEnds()[0].GetHow(), string(gate.Lost))
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -193,7 +193,7 @@
 	clear(s.reported)
 	s.learner.Resend()
 	s.log.Info("LeaderConnected", zap.String("Leader", p.Hello.GetName()), zap.Int64("Term", s.leader.Term))
-	s.sendFullReport()
+	s.sendFullReport(nil)
 
 	return nil
 }
@@ -237,8 +237,8 @@
 }
 
 // sendFullReport reports the complete state, which a leader needs before it sends
-// orders.
-func (s *Sidecar) sendFullReport() {
+// orders, and the given ends of runs that the worker doesn't list.
+func (s *Sidecar) sendFullReport(unlisted []gate.EndEvent) {
 	var runs []peer.TaskRun
 	for t, e := range s.gate.Runs {
 		runs = append(runs, peer.TaskRun{
@@ -247,7 +247,7 @@
 		})
 	}
 
-	var events []gate.EndEvent
+	events := unlisted
 	for _, e := range s.gate.Unrecorded {
 		events = append(events, gate.EndEvent{
 			End:         e,
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -100,7 +101,7 @@
 	case firstSync && s.gate.Synced:
 		s.log.Info("WorkerListed", zap.String("Worker", id), zap.Int("Runs", len(s.gate.Runs)),
 			zap.Int("Unrecorded", len(s.gate.Unrecorded)))
-		s.sendFullReport()
+		s.sendFullReport(slices.DeleteFunc(events, func(e gate.EndEvent) bool { return e.Number > 0 }))
 	case len(events) > 0 || !answeredBefore:
 		s.sendReport(events)
 	}
