--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"time"
 
@@ -99,7 +100,7 @@
 
 	if firstSync && s.gate.Synced {
 		s.logSync(now, token)
-		s.sendFullReport()
+		s.sendFullReport(slices.DeleteFunc(events, func(e gate.EndEvent) bool { return e.Number > 0 }))
 	} else if len(events) > 0 || !answeredBefore {
 		s.sendReport(events)
 	}
