Follow a worker that replaced another after the time of day stepped back

Callers saw: after a worker was replaced by one with another ID and an earlier start time, no task ran on its machine any more, and a job that needed it stayed running.

Cause: the announcement counted as a delayed one. All calls went on to the old ID and got 421, which counted as any rejection.

TestReplacedWorker/ Replaced failed with the body of the new function taken out.

Fix: a 421 to a call that was sent after the gate learned of its worker shows that another one is there, so that the next announcement with another ID is applied whatever its start time. A delayed one is found out by the next 421. No run ends before a listing shows it.

The emulated worker can start under another ID and with another time of day.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -92,8 +92,10 @@
 	Recorded     int64
 	acknowledged int64
 
-	// learnedAt is when the gate learned of the worker's current incarnation.
+	// learnedAt is when the gate learned of the worker's current incarnation. replaced
+	// reports that another worker has answered at its address since.
 	learnedAt time.Duration
+	replaced  bool
 	// lastEnd is the number of the last listed end.
 	lastEnd int64
 	// leaseDeadline is the latest deadline that was granted to the runs.
@@ -126,7 +128,7 @@
 		return changed
 	}
 
-	if g.Announced && a.Born < g.Worker.Born {
+	if g.Announced && a.Born < g.Worker.Born && (!g.replaced || a.ID == g.Worker.ID) {
 		// A delayed announcement of an earlier incarnation, or one of a later incarnation
 		// after the time of day stepped back, which the next listing shows.
 		return false
@@ -150,6 +152,13 @@
 	return true
 }
 
+// HandleReplaced records that a worker with another ID answered a call that was sent at a
+// time. The time of day may have stepped back before it started, so its announcement is
+// then applied whatever its start time. A delayed one is answered by this again.
+func (g *Gate) HandleReplaced(sent time.Duration) {
+	g.replaced = g.replaced || sent > g.learnedAt
+}
+
 // startIncarnation resets the state after a restart of the worker. What it ran is
 // lost, but an order that was in flight may have reached the new incarnation, which
 // has the same ID. The first listing with a higher token shows whether it did.
@@ -160,7 +169,7 @@
 	}
 
 	restarted := g.Announced
-	g.Worker, g.learnedAt = a, now
+	g.Worker, g.learnedAt, g.replaced = a, now, false
 	g.Announced = true
 	g.Unrecorded = nil
 	g.Recorded, g.lastEnd, g.acknowledged = 0, 0, 0
@@ -406,6 +415,7 @@
 
 	g.ObserveClock(now, l.Clock)
 	g.Answering = true
+	g.replaced = false
 
 	if !g.Synced && len(l.Running) == 0 && len(l.Malformed) == 0 {
 		// No run holds an earlier lease, and the token fences earlier orders off.
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -326,6 +326,36 @@
 	assert.Equal(t, g.Runs[taskA].Phase, Confirmed)
 }
 
+// TestReplacedWorker guards against a worker that is ignored for good: one that took another's
+// address, and started at an earlier time of day than that.
+func TestReplacedWorker(t *testing.T) {
+	other := announcement(0, 1)
+	other.ID = "i-2"
+
+	tests := map[string]struct {
+		prepare func(*Gate)
+		adopted bool
+	}{
+		"Delayed":   {func(*Gate) {}, false},
+		"Replaced":  {func(g *Gate) { g.HandleReplaced(time.Second) }, true},
+		"Overtaken": {func(g *Gate) { g.HandleReplaced(0) }, false},
+		"Answers": {func(g *Gate) {
+			g.HandleReplaced(time.Second)
+			g.list(2*time.Second, []Run{{Task: taskA, Attempt: 1}}, nil)
+		}, false},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := runningGate(t)
+			c.prepare(g)
+			assert.Equal(t, g.HandleAnnouncement(3*time.Second, other), c.adopted)
+			assert.Equal(t, g.Worker.ID == other.ID, c.adopted)
+			assert.Equal(t, len(g.Runs), 1, "nothing ends before a listing shows it")
+		})
+	}
+}
+
 // TestOvertakenListing checks that a listing which an earlier incarnation may have answered
 // changes nothing.
 func TestOvertakenListing(t *testing.T) {
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -248,6 +248,36 @@
 	h.checkViolations()
 }
 
+// TestHostedSteppedBack checks that tasks run again on a worker that restarts after its time
+// of day stepped back, also under another ID.
+func TestHostedSteppedBack(t *testing.T) {
+	t.Parallel()
+
+	tests := map[string]struct {
+		network int
+		id      string
+	}{
+		"SameID":  {74, "i-1"},
+		"OtherID": {75, "i-9"},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			h := startHosted(t, c.network, 1, 1)
+			h.planRuns(400 * time.Millisecond)
+
+			id := h.submit(dependentSteps()...)
+			h.awaitState("running", id)
+			h.workers[0].Crash()
+			h.workers[0].StartAs(c.id, -time.Minute)
+			h.awaitState("succeeded", id)
+			h.checkViolations()
+		})
+	}
+}
+
 // TestHostedLeaveNotice checks that a task runs once if its worker leaves calls unanswered
 // for a second after a notice of its exit, and runs on: its runs counted as ended at once.
 func TestHostedLeaveNotice(t *testing.T) {
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -70,7 +70,7 @@
 	now := boottime.Now()
 
 	if err != nil {
-		s.handleListError(now, id, l, err)
+		s.handleListError(sent, now, id, l, err)
 		s.mu.Unlock()
 		pause(ctx, s.announced, silentPause)
 
@@ -151,8 +151,9 @@
 	return maxListWait
 }
 
-// handleListError applies the failure of a listing. The caller holds the lock.
-func (s *Sidecar) handleListError(now time.Duration, id string, l gate.Listing, err error) {
+// handleListError applies the failure of a listing that was requested at the time sent. The
+// caller holds the lock.
+func (s *Sidecar) handleListError(sent, now time.Duration, id string, l gate.Listing, err error) {
 	if errors.Is(err, platform.ErrFenced) {
 		s.gate.ObserveClock(now, l.Clock)
 		s.gate.RaiseToken(l.Clock)
@@ -164,6 +165,10 @@
 		return
 	}
 
+	if errors.Is(err, platform.ErrReplaced) {
+		s.gate.HandleReplaced(sent)
+	}
+
 	if s.gate.Answering {
 		s.log.Warn("WorkerSilent", zap.String("Worker", id), jsonlog.Error(err))
 	}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -25,7 +25,7 @@
 // beyond its capacity, which it reports to its Checker. LoseAnswer may be called
 // concurrently.
 type Worker struct {
-	// ID, Service, Zone and Capacity are announced.
+	// ID, Service, Zone and Capacity are announced. StartAs changes ID.
 	ID       string
 	Service  string
 	Zone     string
@@ -38,8 +38,10 @@
 	LoseAnswer func(path string) (lost bool, delay time.Duration)
 
 	mu sync.Mutex
-	// startedAt is the start of the incarnation and identifies it.
+	// startedAt is the start of the incarnation and identifies it. born is its time of day
+	// in Unix milliseconds.
 	startedAt time.Time
+	born      int64
 	sequence  int64
 	token     int64
 	// deadline is the end of the lease on the worker's clock.
@@ -87,10 +89,16 @@
 }
 
 // Start begins a new incarnation of the worker, without attempts or a lease.
-func (w *Worker) Start() {
+func (w *Worker) Start() { w.StartAs(w.ID, 0) }
+
+// StartAs begins a new incarnation under an ID, whose time of day is off by step.
+func (w *Worker) StartAs(id string, step time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
+	w.ID = id
+	w.born = time.Now().Add(step).UnixMilli()
+
 	if w.changed != nil {
 		close(w.changed)
 	}
@@ -129,18 +137,19 @@
 		w.sequence++
 		body, err := json.Marshal(map[string]any{
 			"service": w.Service, "address": "127.0.0.1:1", "zone": w.Zone, "version": "v1", "slots": 8,
-			"state": "ready", "cold_left_ms": 0, "labels": []string{"a"}, "seq": w.sequence, "born": w.startedAt.UnixMilli(),
+			"state": "ready", "cold_left_ms": 0, "labels": []string{"a"}, "seq": w.sequence, "born": w.born,
 			"capacity": map[string]int64{
 				"cpu": w.Capacity.MilliCores, "mem_mb": w.Capacity.MemoryMB, "gpu": w.Capacity.Accelerators,
 			},
 		})
+		id := w.ID
 		w.mu.Unlock()
 
 		if err != nil {
 			return
 		}
 
-		r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+control+"/trefoildeck/instances/"+w.ID, bytes.NewReader(body))
+		r, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+control+"/trefoildeck/instances/"+id, bytes.NewReader(body))
 		if err != nil {
 			return
 		}
@@ -182,7 +191,11 @@
 		return
 	}
 
-	if r.Header.Get("Target-Instance") != w.ID {
+	w.mu.Lock()
+	id := w.ID
+	w.mu.Unlock()
+
+	if r.Header.Get("Target-Instance") != id {
 		a.WriteHeader(http.StatusMisdirectedRequest)
 
 		return
@@ -262,7 +275,7 @@
 func (w *Worker) execute(path string, o wireOrder) (int, map[string]any) {
 	body := map[string]any{
 		"clock_ms": w.clock().Milliseconds(),
-		"born":     w.startedAt.UnixMilli(),
+		"born":     w.born,
 	}
 	reject := func(reason string) (int, map[string]any) {
 		body["reason"] = reason
