--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -71,7 +71,7 @@
 	now := boottime.Now()
 
 	if err != nil {
-		s.handleListError(now, id, token, l, err)
+		s.handleListError(sent, now, id, token, l, err)
 		s.mu.Unlock()
 		pause(ctx, s.announced, silentPause)
 
@@ -151,8 +151,9 @@
 	return maxListWait
 }
 
-// handleListError applies the failure of a listing. The caller holds the lock.
-func (s *Sidecar) handleListError(now time.Duration, id string, token int64, l gate.Listing, err error) {
+// handleListError applies the failure of a listing that was requested with a token at the
+// time sent. The caller holds the lock.
+func (s *Sidecar) handleListError(sent, now time.Duration, id string, token int64, l gate.Listing, err error) {
 	if s.gate.Worker.ID != id {
 		return
 	}
@@ -163,6 +164,10 @@
 		return
 	}
 
+	if errors.Is(err, platform.ErrReplaced) {
+		s.gate.HandleReplaced(sent)
+	}
+
 	if s.gate.Answering {
 		s.log.Warn("WorkerSilent", zap.String("Worker", id), jsonlog.Error(err))
 	}
