Don't take another node's end for that of the attempt under way

Callers could have seen two runs of one task.

Cause: attempt numbers of a term start at 1000 x (term - 1) + 1, and a leader that doesn't know an attempt of its predecessor's may use a lower number. RecordEnd compared only the numbers, so the end of the old attempt, reported later, freed the task while the new attempt ran elsewhere, and it was started once more.

While an attempt is under way, only an end on its own node ends it now; elsewhere, a failure is still counted and a success still completes the task.

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -200,6 +200,12 @@
 	j.active--
 }
 
+// concernsOther reports whether an end on a node is that of another attempt than the one
+// under way. An attempt that this leader doesn't know may have the higher number.
+func (t *taskInfo) concernsOther(node string, e gate.End) bool {
+	return e.Attempt < t.attempt || (t.phase == active && t.worker.node != node && e.Reason != gate.Done)
+}
+
 // RecordEnd records the end of a run on a node.
 func (f *Fleet) RecordEnd(now time.Duration, node string, e gate.End) {
 	j, s, t := f.findTask(e.Task)
@@ -207,8 +213,8 @@
 		return
 	}
 
-	if e.Attempt < t.attempt {
-		// A later attempt is under way, so only a failure has to be counted.
+	if t.concernsOther(node, e) {
+		// Another attempt is under way, so only a failure has to be counted.
 		if e.Reason == gate.Failed && !j.state.Final() {
 			f.taskFailed(j, s, t, node, e.Attempt)
 			f.changed[j.record.ID] = j
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -198,3 +198,35 @@
 	f.Report(0, "n1", r)
 	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 0)
 }
+
+// TestEndElsewhere checks that an end on one node does not free a task for another start while
+// its attempt runs on another node. A predecessor that used up its term's attempt numbers may
+// have started a later one, unknown to its successor until its node returns.
+func TestEndElsewhere(t *testing.T) {
+	for _, reason := range []gate.EndReason{gate.Lapsed, gate.Stopped, gate.Failed, gate.NotRun} {
+		t.Run(string(reason), func(t *testing.T) {
+			f := New(2)
+			assert.NilError(t, f.Load(0, 0, record(jobA, step(1)), nil, false))
+			f.AwaitReports(0, []string{"n1", "n2"})
+			f.Report(MaxLeaseTime, "n2", described("n2"))
+
+			next := starts(f.Schedule(MaxLeaseTime, time.Time{}))["n2"]
+			assert.Equal(t, len(next), 1)
+
+			now := MaxLeaseTime + time.Second
+			r := described("n1")
+			r.Ends = []gate.EndEvent{end("n1", 1, jobA, 2*attemptsPerTerm, reason)}
+			f.Report(now, "n1", r)
+			assert.Equal(t, len(starts(f.Schedule(now+time.Second, time.Time{}))), 0)
+
+			r = described("n2")
+			r.Runs = []gate.Run{{
+				Task:       job.TaskID{Job: jobA},
+				Attempt:    next[0].Attempt,
+				OrderKnown: true,
+			}}
+			f.Report(now+time.Second, "n2", r)
+			assert.Equal(t, len(f.Schedule(now+time.Second, time.Time{})), 0)
+		})
+	}
+}
