Sync a gate only with a token at or above the worker's clock

Callers could have seen two runs of one task.

Cause: a token is at least the sum of the worker's start time and clock, so that it is above those of earlier processes. When an incarnation begins, its clock isn't known, and the token was raised to the start time alone. The first listing with that token synced the gate and showed no run, the leader started the task elsewhere, and the start in flight, which had the higher token, could still take effect.

Evidence: TestTokenBeforeClock failed before:

--- FAIL: TestTokenBeforeClock (0.00s) gate_test.go:561: assertion failed: expression is false: !g.Synced || token >= born+clock.Milliseconds(): 600000

Now the first reading of an incarnation's clock raises a token below the sum, and only a listing with the raised token syncs the gate. At a worker's restart that is one more listing; a sidecar's start needs none, since the answer to its first call, which has no token, counts as that reading.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -418,6 +418,16 @@
 	}
 }
 
+// HandleUnfenced raises the token after a listing that was requested without one. Calls with
+// the raised token fence off the orders of earlier sidecar processes.
+func (g *Gate) HandleUnfenced(now time.Duration, l Listing) {
+	if l.Incarnation == g.Worker.Incarnation {
+		g.ObserveClock(now, l.Clock)
+	}
+
+	g.RaiseToken(l.Clock)
+}
+
 // HandleListing applies a listing that was requested with a token at the time sent
 // and arrived now, and returns what ended.
 func (g *Gate) HandleListing(sent, now time.Duration, token int64, l Listing) []EndEvent {
@@ -441,6 +451,13 @@
 		return nil
 	}
 
+	if !g.Synced && g.clock == 0 && token < l.Born+l.Clock.Milliseconds() {
+		// Before the clock was read, the token may have been lower than those of an earlier
+		// sidecar process, whose orders may still be in flight.
+		g.ObserveClock(now, l.Clock)
+		g.RaiseToken(l.Clock)
+	}
+
 	if token < g.Token && !g.Synced {
 		return nil
 	}
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -534,3 +534,30 @@
 	g.HandleListing(0, 0, g.Token, l)
 	assert.Assert(t, g.Synced)
 }
+
+// TestTokenBeforeClock checks that the runs of an incarnation are not taken as known by a token
+// that was derived before its clock was read: after a delayed announcement of the one before
+// it, that token is lower than those of an earlier sidecar process, whose starts in flight
+// could still take effect.
+func TestTokenBeforeClock(t *testing.T) {
+	const (
+		born  = 600_000
+		clock = time.Minute
+	)
+
+	g := New()
+	g.HandleAnnouncement(0, announcement(1, 9))
+	g.RaiseToken(clock)
+	g.HandleAnnouncement(0, announcement(born, 1))
+
+	for now := clock; !g.Synced; now += time.Millisecond {
+		assert.Assert(t, now < clock+3*time.Millisecond)
+
+		token := g.Token
+		g.HandleListing(now, now, token, Listing{
+			Incarnation: g.Worker.Incarnation,
+			Clock:       now,
+		})
+		assert.Assert(t, !g.Synced || token >= born+clock.Milliseconds(), "%d", token)
+	}
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -82,8 +82,7 @@
 	unknownBefore := s.gate.OrdersUnknown()
 
 	if token == 0 {
-		// Calls with the raised token fence off the orders of earlier sidecars.
-		s.gate.RaiseToken(l.Clock)
+		s.gate.HandleUnfenced(now, l)
 		s.mu.Unlock()
 
 		return
