Report a listing's state only if the listing was applied

A listing that only raised the token made the sidecar send a report without news (TestUnlistedEnds, whose second report was to be the full one).

--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -100,7 +100,7 @@
 	if firstSync && s.gate.Synced {
 		s.logSync(now, token)
 		s.sendFullReport(slices.DeleteFunc(events, func(e gate.EndEvent) bool { return e.Number > 0 }))
-	} else if len(events) > 0 || !answeredBefore {
+	} else if len(events) > 0 || answeredBefore != s.gate.Answering {
 		s.sendReport(events)
 	}
 
