Let the histories' agents report as sidecars do now

Ends that a listing lacks come with the full report, and the first call without a token counts as a reading of the clock. Without that, runs on restarted workers stayed active.

--- a/core/fleet/world_agent_test.go
+++ b/core/fleet/world_agent_test.go
@@ -248,7 +248,7 @@
 func (a *agent) handleListing(sent time.Duration, token, seen int64, l gate.Listing) {
 	g := a.gate
 	if token == 0 {
-		g.RaiseToken(l.Clock)
+		g.HandleUnfenced(a.w.now, l)
 		a.after(0, a.listLoop)
 
 		return
@@ -259,10 +259,9 @@
 	events := g.HandleListing(sent, a.w.now, token, l)
 	g.MarkAcknowledged(l.Incarnation, seen)
 
-	switch {
-	case firstSync && g.Synced:
-		a.sendFullReport()
-	case len(events) > 0 || !answeredBefore:
+	if firstSync && g.Synced {
+		a.sendFullReport(slices.DeleteFunc(events, func(e gate.EndEvent) bool { return e.Number > 0 }))
+	} else if len(events) > 0 || answeredBefore != g.Answering {
 		a.sendReport(events)
 	}
 
@@ -423,7 +422,7 @@
 	clear(a.pings)
 	clear(a.reported)
 	a.w.logf("%s accepts the leader of term %d, synced %v", a.name, s.term, a.gate.Synced)
-	a.sendFullReport()
+	a.sendFullReport(nil)
 }
 
 func (a *agent) dropLeader(s *session) {
@@ -454,15 +453,14 @@
 	s.send(leaderSide, func() { a.w.receiver(s).handleReport(a, s, r) })
 }
 
-func (a *agent) sendFullReport() {
-	if !a.gate.Synced {
+func (a *agent) sendFullReport(unlisted []gate.EndEvent) {
+	if !a.gate.Synced && len(a.gate.Unrecorded) == 0 {
 		return
 	}
 
-	var (
-		runs []peer.TaskRun
-		ends []gate.EndEvent
-	)
+	ends := unlisted
+
+	var runs []peer.TaskRun
 
 	for t, e := range a.gate.Runs {
 		runs = append(runs, peer.TaskRun{
@@ -478,7 +476,7 @@
 		})
 	}
 
-	a.send(true, runs, ends)
+	a.send(a.gate.Synced, runs, ends)
 	a.sendPing()
 }
 
