Wait for the lease when a worker refuses connections

Callers saw: nothing yet. A worker that refuses connections for 0.1 s and runs on would have its tasks started elsewhere while it runs them.

Cause: two refused connections in a row counted as the end of the worker's process, and its confirmed runs as lost at once.

Fix: a refused connection is a call without an answer. Runs end by a lapsed lease (within about 4.2 s of the last answered call), by a listing, or by a newer incarnation's listing.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -557,24 +557,6 @@
 	return events
 }
 
-// HandleProcessExit records that nothing listens at the worker's address on this
-// machine: the worker's process has exited, and its runs have ended with it. An order
-// in flight may still reach the next incarnation.
-func (g *Gate) HandleProcessExit() []EndEvent {
-	g.Answering = false
-
-	var events []EndEvent
-
-	for t, e := range g.Runs {
-		if e.Phase == Confirmed {
-			events = append(events, g.endEvent(t, e, Lost))
-			delete(g.Runs, t)
-		}
-	}
-
-	return events
-}
-
 // leasesLapsed reports whether all leases have expired on the worker's clock, which
 // may be slow.
 func (g *Gate) leasesLapsed(now time.Duration) bool {
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -278,6 +278,25 @@
 	}
 }
 
+// TestHostedRefusedConnections checks that a task runs once if its worker refuses connections
+// for a second and runs on: its runs counted as lost at once.
+func TestHostedRefusedConnections(t *testing.T) {
+	t.Parallel()
+
+	h := startHosted(t, 76, 1, 2)
+	h.planRuns(3 * time.Second)
+
+	id := h.submit(job.Step{
+		Count: 1,
+		Size:  job.Size{MilliCores: 900},
+	})
+	h.awaitState("running", id)
+	h.refuseConnections(slices.IndexFunc(h.workers, func(w *emulator.Worker) bool { return h.checker.StartsOn(w.ID) > 0 }), time.Second)
+	h.awaitState("succeeded", id)
+	h.checkViolations()
+	assert.Equal(t, h.checker.StartCount(id), 1)
+}
+
 // TestHostedLeaveNotice checks that a task runs once if its worker leaves calls unanswered
 // for a second after a notice of its exit, and runs on: its runs counted as ended at once.
 func TestHostedLeaveNotice(t *testing.T) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -66,8 +66,6 @@
 	leader     peer.LeaderSession
 	pings      map[uint64]time.Duration
 	pingNumber uint64
-	// refusals counts consecutive refused connections to the worker.
-	refusals int
 	// repeats limits the log lines about starts that were refused and about malformed
 	// entries of listings.
 	repeats jsonlog.Repeats
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -27,9 +27,6 @@
 	// unrecordedPause is the pause between listings while ends are not recorded,
 	// because the worker then answers at once.
 	unrecordedPause = 60 * time.Millisecond
-	// refusalsUntilExit is how many consecutive refused connections show that the
-	// worker's process has exited: a single one may be due to a full backlog.
-	refusalsUntilExit = 2
 	// silentPause is the pause after a failed listing.
 	silentPause = 100 * time.Millisecond
 )
@@ -89,7 +86,6 @@
 		return
 	}
 
-	s.refusals = 0
 	events := s.gate.HandleListing(sent, now, token, l)
 	s.gate.MarkAcknowledged(l.Incarnation, acknowledged)
 	sample := s.gate.Sample(now)
@@ -175,15 +171,6 @@
 
 	answeredBefore := s.gate.Answering
 
-	if !errors.Is(err, platform.ErrProcessExited) {
-		s.refusals = 0
-	} else if s.refusals++; s.refusals >= refusalsUntilExit {
-		if events := s.gate.HandleProcessExit(); len(events) > 0 {
-			s.log.Warn("WorkerGone", zap.String("Worker", id), zap.Int("RunsLost", len(events)))
-			s.sendReport(events)
-		}
-	}
-
 	if events := s.gate.HandleUnanswered(now); answeredBefore || len(events) > 0 {
 		s.sendReport(events)
 	}
