Admit no start by a listing that is older than 3.5 s

Cause: on waking, the sidecar admitted the orders in its buffers, since it still held the worker for answering and the authorisation for valid, and sent deadlines of the old incarnation's clock. The new one granted its longest lease from then on, past the moment at which the leader counts all leases of an unreachable node as expired.

Evidence: TestStaleListing failed before:

--- FAIL: TestStaleListing (0.00s) gate_test.go:571: assertion failed: (gate.Refusal) != WorkerSilent (WorkerSilent gate.Refusal)

It narrows the fault and doesn't close it: a restart within the last listing's age still goes unnoticed.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -21,6 +21,12 @@
 	ClockDriftDivisor = 50
 )
 
+// maxListingAge is the age of the last answered listing, counted from its request, above which
+// no start is admitted: after a pause of this process, the worker may have restarted, and on its
+// new clock the deadline of a start would be too late. A listing and the one before it take
+// 1.6 s each at most.
+const maxListingAge = 3500 * time.Millisecond
+
 // Phase is the state of an attempt as far as the gate knows it.
 type Phase int
 
@@ -98,6 +104,8 @@
 	learnedAt time.Duration
 	// lastEnd is the number of the last listed end.
 	lastEnd int64
+	// listedAt is when the last listing that was applied had been requested.
+	listedAt time.Duration
 	// leaseDeadline is the latest deadline that may have been granted to the runs, by this
 	// process or the one before it.
 	leaseDeadline time.Duration
@@ -298,6 +306,8 @@
 		return WorkerDraining
 	case g.nextDeadline(now) == 0:
 		return NoLeader
+	case now-g.listedAt > maxListingAge:
+		return WorkerSilent
 	case g.Runs[o.Task] != nil:
 		return TaskPresent
 	}
@@ -464,6 +474,7 @@
 
 	g.ObserveClock(now, l.Clock)
 	g.Answering = true
+	g.listedAt = sent
 
 	switch {
 	case g.Synced:
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -561,3 +561,22 @@
 		assert.Assert(t, !g.Synced || token >= born+clock.Milliseconds(), "%d", token)
 	}
 }
+
+// TestStaleListing checks that no start is admitted by a state of the worker from before a long
+// pause of this process: the worker may have restarted meanwhile, with another clock.
+func TestStaleListing(t *testing.T) {
+	const paused = 5 * time.Second
+
+	g := syncedGate(t)
+	assert.Equal(t, g.Admit(paused, StartOrder{Task: taskA}), WorkerSilent)
+
+	// An answer that waited in a buffer is as old as its request.
+	g.HandleListing(0, paused, g.Token, Listing{
+		Incarnation: g.Worker.Incarnation,
+		Clock:       2 * time.Second,
+	})
+	assert.Equal(t, g.Admit(paused, StartOrder{Task: taskA}), WorkerSilent)
+
+	g.list(paused, nil, nil)
+	assert.Equal(t, g.Admit(paused, StartOrder{Task: taskA}), Admitted)
+}
