Read the clock once for an order's admission and its deadline

At the very end of the agent's authorisation, the admission could see it and the reservation not: the start then went out with no deadline (found by the review, by reading).

--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -272,12 +272,14 @@
 		}
 	}
 
+	now := boottime.Now()
+
 	var refused []gate.EndEvent
 
 	for _, start := range o.Starts {
 		reason := gate.WorkerReplaced
 		if current {
-			reason = s.gate.Admit(boottime.Now(), start)
+			reason = s.gate.Admit(now, start)
 		}
 
 		if reason != gate.Admitted {
@@ -297,7 +299,7 @@
 			continue
 		}
 
-		token, deadline := s.gate.Reserve(boottime.Now(), start)
+		token, deadline := s.gate.Reserve(now, start)
 		go s.start(s.gate.Worker.ID, token, deadline, start)
 	}
 
