Drop a start that was held up before it was sent

Callers could have seen two runs of one task.

Now a start goes out within a second of its reservation, and not at all if its run was forgotten or put in doubt meanwhile. Nothing was sent, so the refusal is true. This narrows the fault: a restart within that second and the last listing's age still goes unnoticed.

TestHeldUpStart; its cases Paused, Restarted and Forgotten sent before (there was no check).

--- a/core/fleet/world_agent_test.go
+++ b/core/fleet/world_agent_test.go
@@ -358,7 +358,14 @@
 		id := g.Worker.ID
 		token, deadline := g.Reserve(a.w.now, s)
 		a.pauseInside()
-		a.after(0, func() { a.startTask(id, token, deadline, s) })
+		reserved := a.w.now
+		a.after(0, func() {
+			if g.MaySend(reserved, a.w.now, s) {
+				a.startTask(id, token, deadline, s)
+			} else {
+				a.sendReport(g.Reject(s.Task, s.Attempt))
+			}
+		})
 	}
 
 	if len(refused) > 0 {
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -592,3 +592,31 @@
 	g.list(paused, nil, nil)
 	assert.Equal(t, g.Admit(paused, StartOrder{Task: taskA}), Admitted)
 }
+
+// TestHeldUpStart checks that a start is not sent if this process was held up after it was
+// reserved: the worker may have restarted, and grants its longest lease on its new clock.
+func TestHeldUpStart(t *testing.T) {
+	order := StartOrder{
+		Task:    taskA,
+		Attempt: 1,
+	}
+	tests := map[string]struct {
+		prepare func(*Gate)
+		now     time.Duration
+		send    bool
+	}{
+		"AtOnce":    {func(*Gate) {}, 0, true},
+		"Paused":    {func(*Gate) {}, 2 * time.Second, false},
+		"Restarted": {func(g *Gate) { g.HandleAnnouncement(0, announcement(2, 1)) }, 0, false},
+		"Forgotten": {func(g *Gate) { g.HandleUnanswered(2 * MaxLeaseExtension) }, 0, false},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := syncedGate(t)
+			g.Reserve(0, order)
+			c.prepare(g)
+			assert.Equal(t, g.MaySend(0, c.now, order), c.send)
+		})
+	}
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -300,7 +300,7 @@
 		}
 
 		token, deadline := s.gate.Reserve(now, start)
-		go s.start(s.gate.Worker.ID, token, deadline, start)
+		go s.start(now, s.gate.Worker.ID, token, deadline, start)
 	}
 
 	if len(refused) > 0 {
@@ -308,7 +308,22 @@
 	}
 }
 
-func (s *Sidecar) start(id string, token int64, deadline time.Duration, o gate.StartOrder) {
+// start sends a start that was reserved at a local time, unless it was held up until it may no
+// longer be sent.
+func (s *Sidecar) start(reserved time.Duration, id string, token int64, deadline time.Duration, o gate.StartOrder) {
+	s.mu.Lock()
+	held := !s.gate.MaySend(reserved, boottime.Now(), o)
+
+	if held {
+		s.log.Warn("StartHeldUp", zap.String("Job", o.Task.Job), zap.Stringer("Task", o.Task), zap.Int("Attempt", o.Attempt))
+		s.sendReport(s.gate.Reject(o.Task, o.Attempt))
+	}
+	s.mu.Unlock()
+
+	if held {
+		return
+	}
+
 	began := time.Now()
 	err := s.worker.Start(context.Background(), id, token, deadline, o)
 
