--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -195,12 +195,6 @@
 	}
 }
 
-// assumeLongestLease sets the deadline of leases that this process may not have granted:
-// an earlier process did, or an order in flight did in a new incarnation.
-func (g *Gate) assumeLongestLease() {
-	g.leaseDeadline = g.clock + MaxLeaseExtension
-}
-
 func (g *Gate) endAllRuns(reason EndReason) []EndEvent {
 	var events []EndEvent
 
@@ -238,52 +232,6 @@
 		e.PacePercent >= minStallPace && e.progressedAt > 0 && now-e.progressedAt > stallTimeout
 }
 
-// Authorize records that a leader held its lease at a local time. Leases are
-// extended to at most MaxLeaseExtension after the last such time.
-func (g *Gate) Authorize(at time.Duration) {
-	g.authorizedAt = max(g.authorizedAt, at)
-	g.authorized = true
-}
-
-// ExtendLease returns the lease deadline to send with a call, or 0 to extend nothing.
-// The lease counts as granted from now on, because the call may take effect without
-// being answered.
-func (g *Gate) ExtendLease(now time.Duration) time.Duration {
-	d := g.nextDeadline(now)
-	g.leaseDeadline = max(g.leaseDeadline, d)
-
-	return d
-}
-
-func (g *Gate) nextDeadline(now time.Duration) time.Duration {
-	if !g.authorized || !g.Answering {
-		// A worker that does not answer is only probed, so that its leases lapse.
-		return 0
-	}
-
-	limit := min(g.authorizedAt+MaxLeaseExtension, now+LeaseExtension)
-	if limit <= now {
-		return 0
-	}
-
-	return g.clock + limit - g.clockReadAt
-}
-
-// ObserveClock records a reading of the worker's clock that arrived at a local time.
-func (g *Gate) ObserveClock(now, reading time.Duration) {
-	if reading <= g.clock {
-		return
-	}
-
-	first := g.clock == 0
-	g.clock, g.clockReadAt = reading, now
-
-	if first {
-		// The deadline so far was not on this clock.
-		g.assumeLongestLease()
-	}
-}
-
 // Ready reports whether starts can be admitted as far as the worker is concerned: it is
 // known and answers, it doesn't drain, and the sizes of all its runs are known.
 func (g *Gate) Ready() bool {
@@ -420,46 +368,6 @@
 	}
 }
 
-// RaiseToken raises the fencing token above its current value and to at least the
-// sum of the worker's start time and clock in milliseconds. That is mostly higher than
-// any earlier token. Where it is not, because an earlier sidecar process kept the higher
-// token of an earlier incarnation, see HandleFenced.
-func (g *Gate) RaiseToken(clock time.Duration) {
-	g.Token = max(g.Token+1, g.Worker.Born+max(clock, g.clock).Milliseconds())
-}
-
-const (
-	// fencedStepMS is added to a token that the worker fenced off, in milliseconds, and
-	// doubles with each such call, up to maxFencedDoublings times: the clocks of two
-	// incarnations may differ by any amount.
-	fencedStepMS       = 3_600_000
-	maxFencedDoublings = 20
-)
-
-// HandleFenced raises the token after the worker fenced a call off: it knows a higher
-// token than that of the call, which is not known here if the call had the latest one.
-func (g *Gate) HandleFenced(now time.Duration, token int64, clock time.Duration) {
-	latest := token > 0 && token == g.Token
-
-	g.ObserveClock(now, clock)
-	g.RaiseToken(clock)
-
-	if latest {
-		g.Token += fencedStepMS << min(g.fencedCalls, maxFencedDoublings)
-		g.fencedCalls++
-	}
-}
-
-// HandleUnfenced raises the token after a listing that was requested without one. Calls with
-// the raised token fence off the orders of earlier sidecar processes.
-func (g *Gate) HandleUnfenced(now time.Duration, l Listing) {
-	if l.Incarnation == g.Worker.Incarnation {
-		g.ObserveClock(now, l.Clock)
-	}
-
-	g.RaiseToken(l.Clock)
-}
-
 // HandleListing applies a listing that was requested with a token at the time sent
 // and arrived now, and returns what ended.
 func (g *Gate) HandleListing(sent, now time.Duration, token int64, l Listing) []EndEvent {
@@ -645,36 +553,6 @@
 	return events
 }
 
-// LeaseState is what the gate knows about the leases of the worker's runs, for logs.
-type LeaseState struct {
-	// Left is the time from the last reading of the worker's clock to the latest deadline.
-	Left time.Duration
-	// ReadingAge is the age of that reading.
-	ReadingAge time.Duration
-	// AuthorizedAge is the time since a leader was known to hold its lease. It is only
-	// meaningful if Authorized is set.
-	AuthorizedAge time.Duration
-	Authorized    bool
-}
-
-// Lease returns what is known about the leases at a local time.
-func (g *Gate) Lease(now time.Duration) LeaseState {
-	return LeaseState{
-		Left:          g.leaseDeadline - g.clock,
-		ReadingAge:    now - g.clockReadAt,
-		AuthorizedAge: now - g.authorizedAt,
-		Authorized:    g.authorized,
-	}
-}
-
-// leasesLapsed reports whether all leases have expired on the worker's clock, which
-// may be slow.
-func (g *Gate) leasesLapsed(now time.Duration) bool {
-	left := g.leaseDeadline - g.clock
-
-	return now-g.clockReadAt > left+left/ClockDriftDivisor+100*time.Millisecond
-}
-
 // EndToAcknowledge returns the number of the last end that the worker should be told
 // to forget, or 0 for none. The worker may have restarted under its ID and number its
 // ends from 1 again, so each number is sent once, and only after an answered call.
