End the runs of a worker that refuses connections after its notice of leaving

A worker sends the notice and then ends, and a port without a listener resets the connection: both together say that the process has ended. An order in flight is kept in doubt. A notice of an earlier incarnation is taken back by the next announcement, as before.

Evidence: TestLeftWorkerRefuses (new; TestHostedRefusedConnections and TestHostedLeaveNotice still hold).

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -104,6 +104,8 @@
 	// reports that another worker has answered at its address since.
 	learnedAt time.Duration
 	replaced  bool
+	// leaving reports that the worker announced its planned exit.
+	leaving bool
 	// lastEnd is the number of the last listed end.
 	lastEnd int64
 	// listedAt is when the last listing that was applied had been requested.
@@ -136,6 +138,7 @@
 		changed := a.Draining != g.Worker.Draining || a.Capacity != g.Worker.Capacity ||
 			!slices.Equal(a.Labels, g.Worker.Labels)
 		g.Worker = a
+		g.leaving = false
 
 		return changed
 	}
@@ -160,10 +163,33 @@
 	}
 
 	g.Worker.Draining = true
+	g.leaving = true
 
 	return true
 }
 
+// HandleRefused records that nothing listens at the worker's address. If the worker had
+// announced its exit, its process has ended, and the runs with it. An order in flight may
+// still reach the next incarnation.
+func (g *Gate) HandleRefused() []EndEvent {
+	g.Answering = false
+
+	if !g.leaving {
+		return nil
+	}
+
+	var events []EndEvent
+
+	for t, e := range g.Runs {
+		if e.Phase == Confirmed {
+			events = append(events, g.endEvent(t, e, Lost))
+			delete(g.Runs, t)
+		}
+	}
+
+	return events
+}
+
 // HandleReplaced records that a worker with another ID answered a call that was sent at a
 // time. The time of day may have stepped back before it started, so its announcement is
 // then applied whatever its start time. A delayed one is answered by this again.
@@ -185,7 +211,7 @@
 	g.Announced = true
 	g.Unrecorded = nil
 	g.Recorded, g.lastEnd, g.acknowledged = 0, 0, 0
-	g.Synced, g.Answering = false, false
+	g.Synced, g.Answering, g.leaving = false, false, false
 	g.fencedCalls = 0
 	g.clock, g.clockReadAt = 0, now
 	g.assumeLongestLease()
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -620,3 +620,33 @@
 		})
 	}
 }
+
+// TestLeftWorkerRefuses checks that the runs of a worker that announced its exit end once it
+// refuses connections: lasting tasks waited for their lease, and were away for seven seconds.
+func TestLeftWorkerRefuses(t *testing.T) {
+	tests := map[string]struct {
+		prepare func(*Gate)
+		ended   int
+	}{
+		"Refuses": {func(*Gate) {}, 0},
+		"Left":    {func(g *Gate) { g.HandleLeave("i-1") }, 1},
+		"Returned": {func(g *Gate) {
+			g.HandleLeave("i-1")
+			g.HandleAnnouncement(0, announcement(1, 2))
+		}, 0},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			g := runningGate(t)
+			c.prepare(g)
+			g.Reserve(0, StartOrder{
+				Task:    job.TaskID{Job: "000000000000000b"},
+				Attempt: 1,
+			})
+
+			assert.Equal(t, len(g.HandleRefused()), c.ended)
+			assert.Equal(t, len(g.Runs), 2-c.ended, "an order in flight is kept")
+		})
+	}
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -169,6 +169,13 @@
 
 	answeredBefore := s.gate.Answering
 
+	if errors.Is(err, platform.ErrConnectionRefused) {
+		if events := s.gate.HandleRefused(); len(events) > 0 {
+			s.log.Info("WorkerGone", zap.String("Worker", id), zap.Int("RunsLost", len(events)))
+			s.sendReport(events)
+		}
+	}
+
 	lease := s.leaseFields(now)
 	events := s.gate.HandleUnanswered(now)
 
