--- a/Makefile
+++ b/Makefile
@@ -74,14 +74,21 @@
 
 # Scores the users' deployments with their bench: BENCH is its path, DEPLOYMENTS the folder
 # of the site files, and WHY the reason that its journal records.
-SITES = large/armor-balise-large.toml further/cuulong-say.toml further-grown/cuulong-say-grown.toml
+SITES = sites/armor-balise.toml sites/sdv-sched.toml grown/armor-balise-grown.toml \
+	grown/sdv-sched-grown.toml large/armor-balise-large.toml
 .PHONY: scores
 scores:
 	@for s in $(SITES); do $(BENCH) score $(DEPLOYMENTS)/$$s --jobs 4 --why "$(WHY)" || exit 1; done
 
 # Plays the days of one kind of trouble in deploy/days on a site of DEPLOYMENTS, and
 # compares them with the day without trouble. SEED is the days' seed.
-SITE = further/cuulong-say.toml
+SITE = sites/armor-balise.toml
 .PHONY: days
 days:
 	deploy/compare-days $(BENCH) $(DEPLOYMENTS)/$(SITE) $(SEED)
+
+# Plays COUNT days drawn from the seeds from FIRST, each with several troubles close together,
+# on SITE, to find broken rules.
+.PHONY: drawn-days
+drawn-days:
+	deploy/hunt-drawn $(BENCH) $(DEPLOYMENTS)/$(SITE) $(FIRST) $(COUNT)
