Withhold leases and acknowledgements over entries that can't be decoded

What a caller could see: a task that has ended as done starts again, or two runs of it at once, after its worker listed an entry that can't be decoded.

Now the worker isn't synced while an entry may be unknown to the leader: nothing is admitted, no lease extended, no such end acknowledged. A run that can't be decoded is no hindrance while a run that is known isn't listed: it is that one.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -83,7 +83,8 @@
 	Worker    Announcement
 	Announced bool
 	// Synced reports whether a listing of the worker's current incarnation was read that
-	// was not truncated: before it, ends that the leader has to know may not be listed yet.
+	// was not truncated: before it, ends that the leader has to know may not be listed yet. It
+	// is reset while a listing has something that can't be named to the leader.
 	Synced bool
 	// Answering reports whether the last call was answered.
 	Answering bool
@@ -108,6 +109,12 @@
 	leaving bool
 	// lastEnd is the number of the last listed end.
 	lastEnd int64
+	// unnamed reports that the last listing had something that can't be decoded and may be
+	// unknown to the leader.
+	unnamed bool
+	// heldEnd is the lowest number of a listed end that can't be decoded, or 0. lapsedEnd is the
+	// highest number of one that was listed after the leases had lapsed.
+	heldEnd, lapsedEnd int64
 	// listedAt is when the last listing that was applied had been requested.
 	listedAt time.Duration
 	// leaseDeadline is the latest deadline that may have been granted to the runs, by this
@@ -212,6 +219,7 @@
 	g.Unrecorded = nil
 	g.Recorded, g.lastEnd, g.acknowledged = 0, 0, 0
 	g.Synced, g.Answering, g.leaving = false, false, false
+	g.unnamed, g.heldEnd, g.lapsedEnd = false, 0, 0
 	g.fencedCalls = 0
 	g.clock, g.clockReadAt = 0, now
 	g.assumeLongestLease()
@@ -434,7 +442,7 @@
 	g.listedAt = sent
 
 	switch {
-	case g.Synced:
+	case g.Synced, g.unnamed:
 	case len(l.Running) == 0 && l.complete():
 		// No run holds an earlier lease, and the token fences earlier orders off.
 		g.leaseDeadline = 0
@@ -445,6 +453,7 @@
 	events := g.handleEnds(l)
 	events = append(events, g.handleRuns(sent, now, token, l)...)
 	g.Synced = g.Synced || !l.Truncated
+	g.handleUnreadable(sent, l)
 
 	return events
 }
@@ -579,17 +588,6 @@
 	return events
 }
 
-// EndToAcknowledge returns the number of the last end that the worker should be told
-// to forget, or 0 for none. The worker may have restarted under its ID and number its
-// ends from 1 again, so each number is sent once, and only after an answered call.
-func (g *Gate) EndToAcknowledge() int64 {
-	if !g.Answering || g.Recorded <= g.acknowledged {
-		return 0
-	}
-
-	return g.Recorded
-}
-
 // MarkAcknowledged records that an incarnation was told to forget its ends up to a
 // number.
 func (g *Gate) MarkAcknowledged(i Incarnation, number int64) {
--- a/core/gate/lease.go
+++ b/core/gate/lease.go
@@ -26,8 +26,9 @@
 }
 
 func (g *Gate) nextDeadline(now time.Duration) time.Duration {
-	if !g.authorized || !g.Answering {
-		// A worker that does not answer is only probed, so that its leases lapse.
+	if !g.authorized || !g.Answering || g.unnamed {
+		// A worker that does not answer, or lists what can't be decoded, is only probed, so
+		// that its leases lapse.
 		return 0
 	}
 
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -130,6 +130,10 @@
 	Ended   []End
 	// Malformed describes the entries that could not be decoded. The others are served.
 	Malformed []string
+	// UnreadableRuns is the number of runs among them. UnreadableEnds has the numbers of the
+	// ends among them, in order, or a lower bound of a number that can't be read.
+	UnreadableRuns int
+	UnreadableEnds []int64
 	// Truncated reports that there may be further ends, which the worker lists once these
 	// are acknowledged.
 	Truncated bool
--- a/sidecar/malformed_test.go
+++ b/sidecar/malformed_test.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"trefoildeck/core/gate"
@@ -77,3 +80,41 @@
 		s.sendStatus()
 	})
 }
+
+// TestUnreadableRunReported checks that a leader learns at once that nothing can be started
+// beside a run that can't be decoded, and that the full report waits until there is none.
+func TestUnreadableRunReported(t *testing.T) {
+	running := ""
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := fmt.Fprintf(w, `{"clock_ms":1000,"born":5,"running":[%s],"finished":[]}`, running)
+		assert.Check(t, err)
+	}))
+	defer server.Close()
+
+	s := newTestSidecar(t, server)
+	s.handleAnnouncement(gate.Announcement{
+		Incarnation: gate.Incarnation{
+			ID:   "i-1",
+			Born: 5,
+		},
+		Sequence: 1,
+	})
+	s.listOnce(t.Context())
+	s.listOnce(t.Context())
+
+	reports := connectLeader(t, s)
+	r := <-reports
+	assert.Assert(t, r.GetFull() && r.GetReady())
+
+	running = `["x",1,"",0,0]`
+	s.listOnce(t.Context())
+
+	r = <-reports
+	assert.Assert(t, !r.GetFull() && !r.GetReady())
+
+	running = ""
+	s.listOnce(t.Context())
+
+	r = <-reports
+	assert.Assert(t, r.GetFull() && r.GetReady())
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -75,7 +75,7 @@
 		return
 	}
 
-	firstSync := !s.gate.Synced
+	syncedBefore := s.gate.Synced
 	answeredBefore := s.gate.Answering
 	unknownBefore := s.gate.OrdersUnknown()
 
@@ -93,10 +93,12 @@
 	paces := s.gate.Pace(sample, s.learner)
 	s.logUnlisted(events)
 
-	if firstSync && s.gate.Synced {
+	s.logMalformed(now, l)
+
+	if !syncedBefore && s.gate.Synced {
 		s.logSync(now, token)
 		s.sendFullReport(slices.DeleteFunc(events, func(e gate.EndEvent) bool { return e.Number > 0 }))
-	} else if len(events) > 0 || answeredBefore != s.gate.Answering {
+	} else if len(events) > 0 || answeredBefore != s.gate.Answering || (len(l.Malformed) > 0 && syncedBefore != s.gate.Synced) {
 		s.sendReport(events)
 	}
 
@@ -112,10 +114,6 @@
 	endsListed := len(s.gate.Unrecorded) > 0 || len(l.Malformed) > 0
 	s.mu.Unlock()
 
-	for _, m := range l.Malformed {
-		s.repeats.Log(s.log, zap.ErrorLevel, "ListingMalformed", m, zap.String("Worker", id))
-	}
-
 	for _, p := range paces {
 		s.pace(ctx, id, token, p)
 	}
@@ -218,6 +216,19 @@
 	}
 }
 
+// logMalformed logs the entries of a listing that can't be decoded, and that no lease is extended
+// because of them. The caller holds the lock.
+func (s *Sidecar) logMalformed(now time.Duration, l gate.Listing) {
+	for _, m := range l.Malformed {
+		s.repeats.Log(s.log, zap.ErrorLevel, "ListingMalformed", m, zap.String("Worker", l.ID))
+	}
+
+	if len(l.Malformed) > 0 && !s.gate.Synced {
+		s.repeats.Log(s.log, zap.WarnLevel, "LeasesWithheld", "ListingMalformed", append(s.leaseFields(now),
+			zap.String("Worker", l.ID), zap.Int("Runs", l.UnreadableRuns), zap.Int64s("Ends", l.UnreadableEnds))...)
+	}
+}
+
 // reportPaces reports the runs whose pace changed, so that the leader can move them.
 func (s *Sidecar) reportPaces(paces []gate.PaceOrder) {
 	var runs []peer.TaskRun
