Schedule the jobs that a leader finds after its feed lost history

Callers could have seen a job queued for good on an idle deployment.

Cause: after a feed lost its history, the leader reads all jobs again, but requested no scheduling pass. A pass runs only after an event, and an idle fleet has none.

Evidence: TestJobsReloaded failed before:

--- FAIL: TestJobsReloaded (0.00s) reload_test.go:45: no scheduling pass was requested

Now each read requests a pass, which also sends the stops of cancellations found by it.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -431,6 +431,8 @@
 			return after, nil
 		}
 
+		defer notify(l.wake)
+
 		return l.load(ctx)
 	}, l.applyJobRow)
 }
