Take an earlier attempt that is found running for the task's attempt

What a caller could see: a job that runs on for good, since a task of it is never started again; or two runs of one task at once.

Now a full report ends the attempts that it lacks, and a run of a task without an active attempt becomes the active one whatever its number. Later starts count from the highest number that the task had.

TestEarlierAttemptListed failed in both cases before: no start after the end of the earlier attempt; one start while it ran.

--- a/core/fleet/gang.go
+++ b/core/fleet/gang.go
@@ -23,7 +23,7 @@
 
 	for k := range s.tasks {
 		t := &s.tasks[k]
-		attempt = max(attempt, t.attempt)
+		attempt = max(attempt, t.lastAttempt())
 
 		if t.checkpoint != "" {
 			checkpoint = t.checkpoint
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -21,6 +21,8 @@
 type taskInfo struct {
 	phase   phase
 	attempt int
+	// highest is the highest attempt that the task had, if an earlier one was found running.
+	highest int
 	// failures has the failed attempts, which workers may report in any order.
 	failures []int
 	// worker is the worker that runs the attempt while the task is active.
@@ -200,6 +202,9 @@
 	j.active--
 }
 
+// lastAttempt returns the highest attempt number of the task that is known.
+func (t *taskInfo) lastAttempt() int { return max(t.attempt, t.highest) }
+
 // concernsOther reports whether an end on a node is that of another attempt than the one
 // under way. An attempt that this leader doesn't know may have the higher number.
 func (t *taskInfo) concernsOther(node string, e gate.End) bool {
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -245,7 +245,7 @@
 }
 
 func (f *Fleet) startTask(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo, w *workerInfo, id job.TaskID) {
-	attempt := max(t.attempt+1, int(f.term-1)*attemptsPerTerm+1)
+	attempt := max(t.lastAttempt(), int(f.term-1)*attemptsPerTerm) + 1
 	placement := w.placement(now)
 	f.assign(now, j, s, t, w, id, attempt)
 	f.orderStart(j, s, t, id, placement)
@@ -282,6 +282,7 @@
 // assign makes a task active on a worker.
 func (f *Fleet) assign(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo, w *workerInfo, id job.TaskID, attempt int) {
 	t.phase = active
+	t.highest = t.lastAttempt()
 	t.attempt = attempt
 	t.worker = w
 	s.waiting--
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -301,3 +301,47 @@
 		})
 	}
 }
+
+// TestEarlierAttemptListed checks that a task whose earlier attempt is found running on its
+// worker is started again once that has ended, with a number that was never ordered, and not
+// before. The ordered attempt stayed active for good, or both ran.
+func TestEarlierAttemptListed(t *testing.T) {
+	tests := map[string]func(*Fleet){
+		"Ordered": func(f *Fleet) {
+			f.Disconnected("n1")
+		},
+		"Refused": func(f *Fleet) {
+			f.RecordEnd(time.Second, "n1", end("n1", 0, jobA, 2, gate.NotRun).End)
+		},
+	}
+
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Second
+			f := runningFleet(t)
+			f.RecordEnd(0, "n1", end("n1", 0, jobA, 1, gate.NotRun).End)
+			assert.Equal(t, starts(f.Schedule(now, time.Time{}))["n1"][0].Attempt, 2)
+			prepare(f)
+
+			r := described("n1")
+			r.Runs = []gate.Run{{
+				Task:       job.TaskID{Job: jobA},
+				Attempt:    1,
+				OrderKnown: true,
+				Confirmed:  true,
+			}}
+			f.Report(now, "n1", r)
+			f.Report(now, "n2", described("n2"))
+
+			now += time.Second
+			assert.Equal(t, len(starts(f.Schedule(now, time.Time{}))), 0)
+
+			f.Report(now, "n1", Report{Ends: []gate.EndEvent{end("n1", 1, jobA, 1, gate.Failed)}})
+
+			now += time.Second
+			list := starts(f.Schedule(now, time.Time{}))["n2"]
+			assert.Equal(t, len(list), 1)
+			assert.Equal(t, list[0].Attempt, 3)
+		})
+	}
+}
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -166,6 +166,10 @@
 		f.markEnd(w, e)
 	}
 
+	if reconnected {
+		f.reconcile(now, w, r)
+	}
+
 	for _, g := range r.Runs {
 		f.updateRun(now, w, g)
 	}
@@ -173,10 +177,6 @@
 	if r.Full {
 		delete(f.unreported, node)
 	}
-
-	if reconnected {
-		f.reconcile(now, w, r)
-	}
 }
 
 // markEnd records the number of the last processed end of a worker.
@@ -195,12 +195,13 @@
 }
 
 // updateRun processes a run that a worker lists. It stops the run if its job is unknown
-// or over, its task is done, or another attempt replaced it.
+// or over, its task is done, or another attempt replaced it. While no attempt is active, the
+// run becomes the active one, whatever its number: the task can't start before it has ended.
 func (f *Fleet) updateRun(now time.Duration, w *workerInfo, g gate.Run) {
 	j, s, t := f.findTask(g.Task)
 
-	if j == nil || j.state.Final() || t.phase == done || g.Attempt < t.attempt ||
-		(t.phase == active && t.worker != w) {
+	if j == nil || j.state.Final() || t.phase == done ||
+		(t.phase == active && (t.worker != w || g.Attempt < t.attempt)) {
 		f.orderStop(w, g.Task, g.Attempt)
 
 		return
@@ -234,21 +235,19 @@
 	}
 }
 
-// reconcile records as lost the runs that the first full report of a session lists neither
+// reconcile records as lost the attempts that the first full report of a session lists neither
 // as running nor as ended. Within a session each end is reported, and an order may be on its
 // way when the node sends a full report.
 func (f *Fleet) reconcile(now time.Duration, w *workerInfo, r Report) {
-	listed := make(map[job.TaskID]bool, len(r.Runs))
+	listed := make(map[job.TaskID]int, len(r.Runs))
 	for _, g := range r.Runs {
-		listed[g.Task] = true
+		listed[g.Task] = g.Attempt
 	}
 
 	for id, run := range w.runs {
-		if listed[id] {
-			continue
+		if listed[id] != run.attempt {
+			f.giveUp(now, w, id, run, gate.Lost)
 		}
-
-		f.giveUp(now, w, id, run, gate.Lost)
 	}
 }
 
