Count the end of an attempt that ran after later starts had no effect

What a caller could see: a task that has ended as done starts again.

Cause, by reading: a start that had no effect left its number as the task's attempt. Where it was refused since an earlier attempt runs there (an order carried out late), the end of that one concerned "another attempt": it was passed over, acknowledged, and the task started again.

Now such a start leaves the task at its last attempt that may have run; the number is still not used again. Once a later attempt may have run, an earlier success counts no more, as before: the worker's lease may have lapsed in between (docs/PLATFORM.md, questions).

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -19,10 +19,12 @@
 
 // taskInfo is the state of one task.
 type taskInfo struct {
-	phase   phase
+	phase phase
+	// attempt is the attempt under way, or the last one that ended after it may have run.
 	attempt int
-	// highest is the highest attempt that the task had, if an earlier one was found running.
-	highest int
+	// ended is the last attempt that ended after it may have run. highest is the highest one
+	// that was ordered.
+	ended, highest int
 	// failures has the failed attempts, which workers may report in any order.
 	failures []int
 	// worker is the worker that runs the attempt while the task is active.
@@ -205,6 +207,18 @@
 // lastAttempt returns the highest attempt number of the task that is known.
 func (t *taskInfo) lastAttempt() int { return max(t.attempt, t.highest) }
 
+// setEnded records that an attempt has ended. One that did not run leaves the task as it was: an
+// earlier one may still turn out to have run.
+func (t *taskInfo) setEnded(e gate.End) {
+	t.highest = max(t.lastAttempt(), e.Attempt)
+
+	if e.Reason != gate.NotRun {
+		t.ended = e.Attempt
+	}
+
+	t.attempt = t.ended
+}
+
 // concernsOther reports whether an end on a node is that of another attempt than the one
 // under way. An attempt that this leader doesn't know may have the higher number.
 func (t *taskInfo) concernsOther(node string, e gate.End) bool {
@@ -234,7 +248,7 @@
 		f.release(j, s, t, e.Task)
 	}
 
-	t.attempt = e.Attempt
+	t.setEnded(e)
 
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
--- a/core/fleet/progress.go
+++ b/core/fleet/progress.go
@@ -101,7 +101,7 @@
 		}
 
 		t := &s.tasks[n.Index]
-		t.attempt, t.failures, t.checkpoint = n.Attempt, n.Failures, n.Checkpoint
+		t.attempt, t.ended, t.failures, t.checkpoint = n.Attempt, n.Attempt, n.Failures, n.Checkpoint
 	}
 }
 
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -345,3 +345,36 @@
 		})
 	}
 }
+
+// TestEarlierAttemptDone checks that a task isn't started again when an earlier attempt than one
+// that didn't run turns out to have ended as done. That end was passed over and acknowledged. It
+// doesn't count once a later attempt has run: the worker's lease may have lapsed since.
+func TestEarlierAttemptDone(t *testing.T) {
+	tests := map[string]struct {
+		reasons []gate.EndReason
+		starts  int
+	}{
+		"OneNotRun": {[]gate.EndReason{gate.NotRun}, 0},
+		"TwoNotRun": {[]gate.EndReason{gate.NotRun, gate.NotRun}, 0},
+		"Ran":       {[]gate.EndReason{gate.NotRun, gate.Lapsed}, 1},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			now := time.Duration(0)
+			f := runningFleet(t)
+			f.RecordEnd(0, "n1", end("n1", 0, jobA, 1, gate.NotRun).End)
+
+			for i, reason := range c.reasons {
+				now += time.Second
+				assert.Equal(t, starts(f.Schedule(now, time.Time{}))["n1"][0].Attempt, i+2)
+				f.RecordEnd(now, "n1", end("n1", 0, jobA, i+2, reason).End)
+			}
+
+			f.Report(now, "n1", Report{Ends: []gate.EndEvent{end("n1", 1, jobA, 1, gate.Done)}})
+
+			now += time.Second
+			assert.Equal(t, len(starts(f.Schedule(now, time.Time{}))), c.starts)
+		})
+	}
+}
