Release the lease although the answer to its last renewal was lost

What a caller could see: no task starts for up to 2.5 s after the leader's process is stopped, or yields to a stronger one.

Cause: the release expects the version of the lease that the leader knows. A renewal that was applied, but whose answer was lost, had raised it, so the release failed and was not repeated. Neither was one that was itself unanswered; and the renewals, which went on while the leader waited for the store's answer, could renew a lease that had been released.

Now the lease is read again and its release repeated within resignTimeout, unless a later leader has it or it is released; and a leader that resigns renews no more.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -94,12 +94,13 @@
 
 // holdsLease reports whether the lease is still valid and not being released, so that the
 // leader may act.
-func (l *leader) holdsLease() bool {
+func (l *leader) holdsLease() bool { return !l.resigns() && l.leaseValid() }
+
+func (l *leader) resigns() bool {
 	l.leaseMu.Lock()
-	resigned := l.resigned
-	l.leaseMu.Unlock()
+	defer l.leaseMu.Unlock()
 
-	return !resigned && l.leaseValid()
+	return l.resigned
 }
 
 func (l *leader) leaseValid() bool {
@@ -159,11 +160,11 @@
 	return l.schedule(ctx)
 }
 
-// renew extends the lease until it expires or another leader is found.
+// renew extends the lease until it expires, is being released, or another leader is found.
 func (l *leader) renew(ctx context.Context) error {
 	wait := lease.RenewInterval
 
-	for sleep(ctx, wait); ctx.Err() == nil; sleep(ctx, wait) {
+	for sleep(ctx, wait); ctx.Err() == nil && !l.resigns(); sleep(ctx, wait) {
 		l.leaseMu.Lock()
 		ls := l.lease
 		l.leaseMu.Unlock()
@@ -196,7 +197,7 @@
 			l.c.log.Warn("LeaseNotRenewed", zap.Int64("Term", l.term), jsonlog.Error(err))
 		}
 
-		if !l.leaseValid() {
+		if !l.leaseValid() && !l.resigns() {
 			return errLeaseExpired
 		}
 
@@ -276,21 +277,45 @@
 	}
 
 	l.leaseMu.Lock()
-	ls := l.lease
 	l.resigned = true
 	l.leaseMu.Unlock()
-	ls.record.Expiry = 0
 
 	ctx, cancel := context.WithTimeout(ctx, resignTimeout)
 	defer cancel()
 
-	if _, err := l.c.putLease(ctx, ls, false); err != nil {
-		l.c.log.Warn("ResignationFailed", jsonlog.Error(err))
+	for !l.release(ctx) && ctx.Err() == nil {
+		sleep(ctx, leaderRetryPause)
 	}
 
 	return errResigned
 }
 
+// release tries to release the lease. It reports whether another try can't change anything. The
+// lease may have been renewed, or released, by a write whose answer was lost.
+func (l *leader) release(ctx context.Context) bool {
+	l.leaseMu.Lock()
+	ls := l.lease
+	l.leaseMu.Unlock()
+
+	ls.record.Expiry = 0
+
+	_, err := l.c.putLease(ctx, ls, false)
+	if err == nil {
+		return true
+	}
+
+	l.c.log.Warn("ResignationFailed", zap.Int64("Term", l.term), jsonlog.Error(err))
+
+	if err := l.rereadLease(ctx); err != nil {
+		return true
+	}
+
+	l.leaseMu.Lock()
+	defer l.leaseMu.Unlock()
+
+	return l.lease.record.Expiry == 0
+}
+
 // load reads all jobs and their progress. It returns the version after which the
 // feed of jobs has to be read.
 func (l *leader) load(ctx context.Context) (int64, error) {
--- a/coordinator/renew_test.go
+++ b/coordinator/renew_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,3 +47,87 @@
 		assert.Assert(t, calls[1].Sub(calls[0]) < lease.RenewInterval/2, "%s", calls[1].Sub(calls[0]))
 	})
 }
+
+// TestResignAfterLostAnswers checks that a leader releases its lease although answers to a
+// renewal or to the release itself are lost. No process led for the rest of the lease.
+func TestResignAfterLostAnswers(t *testing.T) {
+	tests := map[string]struct {
+		// lost has the transactions, counted from 0, whose answers are lost. The first is the
+		// renewal.
+		lost map[int]bool
+		// late is when those are applied.
+		late time.Duration
+	}{
+		"Renewal":             {map[int]bool{0: true}, 0},
+		"RenewalAppliedLate":  {map[int]bool{0: true}, 50 * time.Millisecond},
+		"Release":             {map[int]bool{1: true}, 0},
+		"ReleaseAppliedLate":  {map[int]bool{1: true}, 200 * time.Millisecond},
+		"RenewalThenRelease":  {map[int]bool{0: true, 1: true}, 0},
+		"ReleaseNeverApplied": {map[int]bool{1: true}, time.Hour},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := emulator.NewRowStore()
+				l := newTestLeader(t, s)
+				calls := 0
+
+				s.LoseAnswer = func(rows.Transaction) (bool, time.Duration) {
+					calls++
+
+					return c.lost[calls-1], c.late
+				}
+
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { assert.Check(t, l.renew(ctx) == nil) }()
+				go func() { assert.Check(t, l.c.probe(ctx) == nil) }()
+
+				time.Sleep(lease.RenewInterval + time.Millisecond)
+				assert.ErrorIs(t, l.resign(t.Context()), errResigned)
+				assert.Equal(t, storedLease(t, s).Expiry, time.Duration(0))
+
+				// Nor may a renewal follow.
+				time.Sleep(lease.Duration)
+				assert.Equal(t, storedLease(t, s).Expiry, time.Duration(0))
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// storedLease returns the lease that the store has.
+func storedLease(t *testing.T, s *emulator.RowStore) lease.Record {
+	t.Helper()
+
+	var record lease.Record
+
+	for _, r := range s.Rows(leadTable) {
+		if r.Key == leaseKey {
+			assert.NilError(t, json.Unmarshal(r.Value, &record))
+		}
+	}
+
+	return record
+}
+
+// TestResignSuperseded checks that a leader doesn't release the lease of a later one.
+func TestResignSuperseded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewRowStore()
+		l := newTestLeader(t, s)
+
+		other := newTestCoordinator(s.Store())
+		other.node.Boot = "later"
+		ls, err := other.readLease(t.Context())
+		assert.NilError(t, err)
+		_, err = other.writeLease(t.Context(), ls, 2)
+		assert.NilError(t, err)
+
+		assert.ErrorIs(t, l.resign(t.Context()), errResigned)
+
+		assert.Equal(t, storedLease(t, s).Term, int64(2))
+		assert.Assert(t, storedLease(t, s).Expiry > 0)
+	})
+}
