Apply the operator's table as a whole after its feed lost history

Callers could have seen a data centre stay out of service after its evacuation had ended, or a task start in one that is out (EVAC).

Cause: the process forgot all evacuations, then applied the rows one by one, each of which it passed to the leader. A configuration that is not newer passes on nothing, so that the end of the last evacuation never reached the leader; a newer one came before the evacuations and passed on that there are none.

Evidence: TestEvacuationsReloaded failed before:

--- FAIL: TestEvacuationsReloaded/GoesOn reload_test.go:118: assertion failed: c.out[dataCentre] is not out: while the rows were applied --- FAIL: TestEvacuationsReloaded/Ended reload_test.go:82: assertion failed: l.fleet.Out[dataCentre] is not out

Now the evacuations of the whole table replace the former ones before any row is applied, and the leader is told once more at the end.

--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -33,18 +33,41 @@
 			return 0, err
 		}
 
-		c.mu.Lock()
-		clear(c.out)
-		c.mu.Unlock()
-
-		for _, r := range p.Rows {
-			c.applyOperatorRow(r)
-		}
+		c.applyOperatorTable(p.Rows)
 
 		return p.Version, nil
 	}, c.applyOperatorRow)
 }
 
+// applyOperatorTable applies all rows of the table. An evacuation that they lack has ended, even
+// if its end was missed. The others hold throughout.
+func (c *Coordinator) applyOperatorTable(list []rows.Row) {
+	out := map[string]bool{}
+
+	for _, r := range list {
+		if dataCentre, ok := platform.EvacuatedDataCentre(r); ok {
+			out[dataCentre] = true
+		}
+	}
+
+	c.mu.Lock()
+	before := c.out
+	c.out = out
+	c.mu.Unlock()
+
+	for dataCentre, was := range before {
+		if was && !out[dataCentre] {
+			c.log.Info("DataCentre", zap.String("Name", dataCentre), zap.Bool("Out", false))
+		}
+	}
+
+	for _, r := range list {
+		c.applyOperatorRow(r)
+	}
+
+	c.informLeader()
+}
+
 // watchTable follows a table until ctx is done. load reads the whole table and returns
 // its version; row receives each later change. The table is loaded again when the
 // store's history no longer reaches back far enough.
@@ -122,6 +145,11 @@
 		c.log.Info("DataCentre", zap.String("Name", dataCentre), zap.Bool("Out", !r.Deleted), zap.Int64("Row", r.Version))
 	}
 
+	c.informLeader()
+}
+
+// informLeader passes what the operator's table says to the leader, if this process is it.
+func (c *Coordinator) informLeader() {
 	c.mu.Lock()
 	l := c.localLeader
 	c.mu.Unlock()
--- a/coordinator/reload_test.go
+++ b/coordinator/reload_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"trefoildeck/core/config"
 	"trefoildeck/core/job"
+	"trefoildeck/io/rows"
 	"trefoildeck/standin/emulator"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"gotest.tools/v3/assert"
 )
 
@@ -49,3 +54,83 @@
 		synctest.Wait()
 	})
 }
+
+// TestEvacuationsReloaded checks what the leader knows of evacuations after the feed lost its
+// history: one that ended meanwhile is over, and one that goes on never ends. The leader
+// kept the one for good, and started tasks while the rows were applied despite the other.
+func TestEvacuationsReloaded(t *testing.T) {
+	const dataCentre = "sabana"
+
+	configuration := func(version int) rows.Row {
+		return rows.Row{
+			Key:   "config",
+			Value: fmt.Appendf(nil, `{"version":%d}`, version),
+		}
+	}
+	evacuation := rows.Row{Key: "evacuate/" + dataCentre}
+
+	tests := map[string]struct {
+		reloaded []rows.Row
+		out      bool
+	}{
+		"Ended":  {[]rows.Row{configuration(1)}, false},
+		"GoesOn": {[]rows.Row{configuration(2), evacuation}, true},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runEvacuationsReloaded(t, dataCentre, c.out, []rows.Row{configuration(1), evacuation}, c.reloaded)
+			})
+		})
+	}
+}
+
+// runEvacuationsReloaded lets a leader read pages in turn, and checks whether a data centre is
+// out whenever a configuration comes into force and at the end.
+func runEvacuationsReloaded(t *testing.T, dataCentre string, out bool, pages ...[]rows.Row) {
+	t.Helper()
+
+	reads := 0
+	l := newTestLeader(t, emulator.NewRowStore())
+	c := l.c
+	c.localLeader = l
+	c.store = &rows.Store{
+		Range: func(context.Context, string, string, string, string) (rows.Page, error) {
+			reads++
+
+			return rows.Page{Rows: pages[reads-1]}, nil
+		},
+		Feed: func(ctx context.Context, _ string, _ int64, _ time.Duration) (rows.Page, error) {
+			time.Sleep(time.Second)
+
+			if reads == len(pages) {
+				<-ctx.Done()
+			}
+
+			return rows.Page{}, rows.ErrHistoryLost
+		},
+	}
+	c.log = zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel),
+		zap.Hooks(func(e zapcore.Entry) error {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+
+			if e.Message == "ConfigurationInForce" && reads == len(pages) {
+				assert.Check(t, c.out[dataCentre] == out, "while the rows were applied")
+			}
+
+			return nil
+		}))
+
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { assert.Check(t, c.watchOperatorTable(ctx) == nil) }()
+
+	time.Sleep(500 * time.Millisecond)
+	assert.Assert(t, l.fleet.Out[dataCentre])
+	time.Sleep(5 * time.Second)
+	assert.Equal(t, reads, len(pages))
+	assert.Check(t, l.fleet.Out[dataCentre] == out)
+	cancel()
+	synctest.Wait()
+}
