Have no end forgotten by a leader whose lease has expired

A batch of ends that changed nothing in the fleet was acknowledged without a call of the store. That is right for ends of finished or cancelled jobs. But an end of a job that the leader doesn't know changes nothing either, and a leader that has been replaced doesn't know the jobs accepted since. While it resigned, or after a cancellation that reached it then, it told an agent that had restarted and accepted its session to have the ends of the next leader's runs forgotten. That leader found neither run nor end and started the task again (TWICE, its other clause).

Found by reading: a leader acts for up to the time of a call after its lease has expired, since the store doesn't answer it.

Such a batch now waits until the lease holds. All its ends had been reported by then, so no later leader can have started their runs. Batches with progress depend on the term already.

TestUnknownEndAfterLease failed before: "error is nil, not lease expired", and the end was acknowledged. The model's leader does the same.

--- a/coordinator/nodes_test.go
+++ b/coordinator/nodes_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
@@ -112,3 +113,59 @@
 
 	assert.Assert(t, (<-frames).GetPong() != nil)
 }
+
+// TestUnknownEndAfterLease checks that a leader whose lease has expired has no end forgotten
+// that changes nothing: its task may be of a job that only the next leader knows, which then
+// started it again.
+func TestUnknownEndAfterLease(t *testing.T) {
+	const number = 7
+
+	l := newTestLeader(t, emulator.NewRowStore())
+	sessions, frames := make(chan *peer.Session, 1), make(chan *peerpb.Frame, 1)
+
+	row, err := acceptNode(t, sessions, frames).Row()
+	assert.NilError(t, err)
+
+	_, ok := l.applyNodeRow(t.Context(), row)
+	assert.Assert(t, ok)
+
+	session := <-sessions
+	query := &peerpb.Frame{Body: &peerpb.Frame_Query{Query: &peerpb.Query{Number: 1}}}
+	send := func(f *peerpb.Frame) { assert.NilError(t, session.Send(f)) }
+
+	send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{WorkerReport: &peerpb.WorkerReport{
+		Full: true,
+		Ends: []*peerpb.EndReport{{
+			Number:   number,
+			Task:     job.TaskID{Job: "00000000000000bb"}.String(),
+			Attempt:  1,
+			How:      string(gate.Done),
+			WorkerID: "i-1",
+		}},
+	}}})
+	send(query)
+	assert.Assert(t, (<-frames).GetQueryAnswer() != nil, "the report was handled")
+
+	valid := l.lease.record.Expiry
+	setExpiry := func(e time.Duration) {
+		l.leaseMu.Lock()
+		defer l.leaseMu.Unlock()
+
+		l.lease.record.Expiry = e
+	}
+
+	setExpiry(0)
+
+	more, err := l.commitChanges(t.Context())
+	assert.ErrorIs(t, err, errLeaseExpired)
+	assert.Assert(t, more)
+
+	send(query)
+	assert.Assert(t, (<-frames).GetQueryAnswer() != nil, "the end was forgotten")
+
+	setExpiry(valid)
+
+	_, err = l.commitChanges(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, (<-frames).GetRecorded().GetNumber(), int64(number))
+}
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -72,8 +72,13 @@
 		return false, nil
 	}
 
-	if len(b.Progress) > 0 {
+	switch {
+	case len(b.Progress) > 0:
 		err = l.commitProgress(ctx, b)
+	case !l.holdsLease():
+		// The ends in it changed nothing, maybe because their jobs are known to the next
+		// leader only.
+		err = errLeaseExpired
 	}
 
 	l.mu.Lock()
--- a/core/fleet/world_leader_test.go
+++ b/core/fleet/world_leader_test.go
@@ -623,7 +623,10 @@
 	})
 }
 
-var errSuperseded = errors.New("superseded")
+var (
+	errSuperseded   = errors.New("superseded")
+	errLeaseExpired = errors.New("lease expired")
+)
 
 // commit writes one batch, one after the other.
 func (l *leader) commit(done func(more bool, err error)) {
@@ -670,7 +673,11 @@
 	}
 
 	if len(b.Progress) == 0 {
-		finish(nil)
+		if l.holdsLease() {
+			finish(nil)
+		} else {
+			finish(errLeaseExpired)
+		}
 
 		return
 	}
