Repeat a listing without an answer before its worker counts as silent

Cause: the answer to a listing that waits for an end was lost. The agent waited 1.6 s for it and 0.1 s more, learned of no end in that time, and then took the worker for silent, so that no task was started on it. In that test every seventh call is lost, and a round of a worker has seven calls: a listing with the ends, four starts, a listing that acknowledges the ends, and one that waits for the next. Two more delays of the same kind: a worker that had been silent was asked to wait for an end for up to a second before it counted as answering, and a start in doubt was settled only after the wait of the listing under way, whose token was the one of before.

What changed: a listing whose answer is 150 ms late (a slow worker responds in 10 ms) is repeated once, without a wait, lease or acknowledgement, with the latest token; only if that goes unanswered does the worker count as silent. A start that goes in doubt ends the wait. For 10 s after an unanswered call, listings wait for 0.2 s at most. A silent worker isn't asked to wait.

Why it is safe: at any time one listing is applied; the answer to the one that was given up is dropped, as before after 1.6 s. Its lease counts as granted from when it was sent, and the repeat extends none, as a listing of a silent worker. The repeat acknowledges nothing, since its worker may have restarted.

--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -64,8 +64,8 @@
 	// Seeds with which a restarted agent took a lease that its predecessor had granted for
 	// lapsed.
 	lapsed := map[string][]uint64{
-		"all agents": {27, 89},
-		"power":      {50, 61, 97},
+		"all agents": {153, 265, 760},
+		"power":      {184, 252, 255, 271},
 	}
 
 	for name, f := range histories() {
--- a/core/fleet/world_agent_test.go
+++ b/core/fleet/world_agent_test.go
@@ -16,6 +16,9 @@
 const (
 	pingPeriod      = 500 * time.Millisecond
 	maxListWait     = time.Second
+	maxLossyWait    = 200 * time.Millisecond
+	lossyTime       = 10 * time.Second
+	repeatDelay     = 150 * time.Millisecond
 	listMargin      = 600 * time.Millisecond
 	orderTimeout    = 400 * time.Millisecond
 	unrecordedPause = 60 * time.Millisecond
@@ -33,10 +36,22 @@
 	pings    map[uint64]time.Duration
 	ping     uint64
 	reported map[job.TaskID]bool
+	// unansweredAt is when a call to the worker last went unanswered, 0 if none did.
+	unansweredAt time.Duration
+	// endListing makes the listing under way be repeated at once.
+	endListing func()
 	// listNow and announced are signals that end a pause.
 	listNow, announced signal
 }
 
+// listRequest is what a listing was requested with.
+type listRequest struct {
+	sent           time.Duration
+	id             string
+	token, seen    int64
+	deadline, wait time.Duration
+}
+
 // signal is a channel with a buffer of one.
 type signal struct {
 	pending bool
@@ -81,6 +96,7 @@
 	a.leader, a.term = nil, 0
 	a.pings, a.reported = map[uint64]time.Duration{}, map[job.TaskID]bool{}
 	a.listNow, a.announced = signal{}, signal{}
+	a.unansweredAt, a.endListing = 0, func() {}
 	a.w.logf("%s begins", a.name)
 	a.register()
 	a.listLoop()
@@ -100,8 +116,9 @@
 }
 
 // call sends a call to the worker. An unanswered call may be carried out never, at once
-// or late. With wait, an answered one is held back until there is an end.
-func (a *agent) call(id string, wait time.Duration, limit time.Duration, run func(*worker) error, done func(error)) {
+// or late. With wait, an answered one is held back until there is an end. The returned
+// function gives the call up.
+func (a *agent) call(id string, wait time.Duration, limit time.Duration, run func(*worker) error, done func(error)) func() {
 	w, k := a.w, a.w.workers[a.number]
 	finished, until := false, w.now+limit
 	finish := func(err error) {
@@ -142,6 +159,8 @@
 			answer(run(k))
 		}
 	})
+
+	return func() { finish(platform.ErrUnanswered) }
 }
 
 // leaveUnanswered carries out a call never, at once or late, but not in a later
@@ -217,36 +236,75 @@
 }
 
 func (a *agent) listOnce() {
-	g, sent := a.gate, a.w.now
-	id, token, seen := g.Worker.ID, g.Token, g.EndToAcknowledge()
-	deadline, wait := g.ExtendLease(sent), a.listWait()
+	g := a.gate
+	r := listRequest{
+		sent:     a.w.now,
+		id:       g.Worker.ID,
+		token:    g.Token,
+		seen:     g.EndToAcknowledge(),
+		deadline: g.ExtendLease(a.w.now),
+		wait:     a.listWait(),
+	}
+	repeats := g.Answering
 
 	a.pauseInside()
 	a.after(0, func() {
-		var l gate.Listing
+		if !repeats {
+			a.list(r, r.wait+listMargin, a.handleAnswer)
 
-		a.call(id, wait, wait+listMargin, func(k *worker) error {
-			if !k.obey(token, deadline) {
-				l.Clock = k.clock()
+			return
+		}
 
-				return platform.ErrFenced
-			}
+		a.endListing = a.list(r, r.wait+repeatDelay, a.repeatListing)
+	})
+}
 
-			k.acknowledge(seen)
-			l = k.listing()
+// list requests a listing. The returned function gives it up.
+func (a *agent) list(r listRequest, limit time.Duration, done func(listRequest, gate.Listing, error)) func() {
+	var l gate.Listing
 
-			return nil
-		}, func(err error) {
-			if err != nil {
-				a.handleListError(id, token, l, err)
-				a.wait(&a.announced, silentPause, a.listLoop)
+	return a.call(r.id, r.wait, limit, func(k *worker) error {
+		if !k.obey(r.token, r.deadline) {
+			l.Clock = k.clock()
 
-				return
-			}
+			return platform.ErrFenced
+		}
 
-			a.handleListing(sent, token, seen, l)
-		})
-	})
+		k.acknowledge(r.seen)
+		l = k.listing()
+
+		return nil
+	}, func(err error) { done(r, l, err) })
+}
+
+// repeatListing requests a listing again if it went unanswered.
+func (a *agent) repeatListing(r listRequest, l gate.Listing, err error) {
+	if !errors.Is(err, platform.ErrUnanswered) {
+		a.handleAnswer(r, l, err)
+
+		return
+	}
+
+	a.unansweredAt = a.w.now
+	r = listRequest{
+		sent:  a.w.now,
+		id:    a.gate.Worker.ID,
+		token: a.gate.Token,
+	}
+
+	a.pauseInside()
+	a.after(0, func() { a.list(r, listMargin, a.handleAnswer) })
+}
+
+func (a *agent) handleAnswer(r listRequest, l gate.Listing, err error) {
+	if err != nil {
+		a.handleListError(r.id, r.token, l, err)
+		a.wait(&a.announced, silentPause, a.listLoop)
+
+		return
+	}
+
+	a.handleListing(r.sent, r.token, r.seen, l)
 }
 
 func (a *agent) handleListing(sent time.Duration, token, seen int64, l gate.Listing) {
@@ -281,7 +339,7 @@
 
 func (a *agent) listWait() time.Duration {
 	g := a.gate
-	if g.Token == 0 || !g.Synced || len(g.Unrecorded) > 0 || g.EndToAcknowledge() > 0 {
+	if !g.Answering || g.Token == 0 || !g.Synced || len(g.Unrecorded) > 0 || g.EndToAcknowledge() > 0 {
 		return 0
 	}
 
@@ -291,6 +349,10 @@
 		}
 	}
 
+	if a.unansweredAt > 0 && a.w.now-a.unansweredAt < lossyTime {
+		return maxLossyWait
+	}
+
 	return maxListWait
 }
 
@@ -385,6 +447,8 @@
 		case errors.Is(err, platform.ErrUnanswered):
 			a.w.logf("%s: start of %v attempt %d unanswered", a.name, s.Task, s.Attempt)
 			a.gate.MarkInDoubt(s.Task, s.Attempt)
+			a.unansweredAt = a.w.now
+			a.endListing()
 			a.listNow.notify()
 		default:
 			a.sendReport(a.gate.Reject(s.Task, s.Attempt))
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -23,8 +23,8 @@
 
 // maxListingAge is the age of the last answered listing, counted from its request, above which
 // no start is admitted: after a pause of this process, the worker may have restarted, and on its
-// new clock the deadline of a start would be too late. A listing and the one before it take
-// 1.6 s each at most.
+// new clock the deadline of a start would be too late. A listing that is answered takes 1.2 s
+// at most, and the one after it 1.8 s until the worker counts as silent.
 const maxListingAge = 3500 * time.Millisecond
 
 // Phase is the state of an attempt as far as the gate knows it.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -73,6 +73,11 @@
 	// last reported checkpoint.
 	reported map[job.TaskID]string
 
+	// unansweredAt is when a call to the worker last went unanswered, 0 if none did.
+	unansweredAt time.Duration
+	// endListing makes the listing under way be repeated at once, if there is one that has
+	// not been repeated.
+	endListing context.CancelFunc
 	// listNow requests a listing without further delay.
 	listNow chan struct{}
 	// announced is signalled on each announcement of the worker.
@@ -100,6 +105,8 @@
 		reported:  map[job.TaskID]string{},
 		listNow:   make(chan struct{}, 1),
 		announced: make(chan struct{}, 1),
+
+		endListing: func() {},
 	}
 }
 
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -25,6 +25,13 @@
 	// maxServingWait replaces maxListWait while serving tasks run, whose latencies
 	// are measured every half second.
 	maxServingWait = 500 * time.Millisecond
+	// maxLossyWait replaces both for lossyTime after a call went unanswered: others may,
+	// and an end is not learned of before a listing without an answer has been repeated.
+	maxLossyWait = 200 * time.Millisecond
+	lossyTime    = 10 * time.Second
+	// repeatDelay is how long the answer to a listing may be late before the listing is
+	// repeated. The worker responds in 10 ms when it is slow.
+	repeatDelay = 150 * time.Millisecond
 	// unrecordedPause is the pause between listings while ends are not recorded,
 	// because the worker then answers at once.
 	unrecordedPause = 60 * time.Millisecond
@@ -52,23 +59,91 @@
 	return nil
 }
 
-// listOnce reads one listing, applies it, and sends the paces that follow from it.
-func (s *Sidecar) listOnce(ctx context.Context) {
+// listRequest is what a listing was requested with.
+type listRequest struct {
+	// sent is the local time of the request.
+	sent         time.Duration
+	id           string
+	token        int64
+	deadline     time.Duration
+	acknowledged int64
+	wait         time.Duration
+}
+
+// nextListing returns the request for the next listing. The caller holds the lock.
+func (s *Sidecar) nextListing() listRequest {
+	now := boottime.Now()
+
+	return listRequest{
+		sent:         now,
+		id:           s.gate.Worker.ID,
+		token:        s.gate.Token,
+		deadline:     s.gate.ExtendLease(now),
+		acknowledged: s.gate.EndToAcknowledge(),
+		wait:         s.listWait(now),
+	}
+}
+
+func (s *Sidecar) list(ctx context.Context, r listRequest) (gate.Listing, error) {
+	l, err := s.worker.ExtendLeases(ctx, r.id, r.token, r.deadline, r.acknowledged, r.wait)
+	s.meter.Count("listings_total", "answered", strconv.FormatBool(err == nil))
+
+	return l, err
+}
+
+// readListing reads one listing and returns it with its request. A listing without an answer
+// is repeated once before the worker counts as silent: the answer may be lost.
+func (s *Sidecar) readListing(ctx context.Context) (listRequest, gate.Listing, error) {
+	s.mu.Lock()
+	r := s.nextListing()
+
+	if !s.gate.Answering {
+		s.mu.Unlock()
+		l, err := s.list(ctx, r)
+
+		return r, l, err
+	}
+
+	first, cancel := context.WithTimeout(ctx, r.wait+repeatDelay)
+	defer cancel()
+
+	s.endListing = cancel
+	s.mu.Unlock()
+
+	l, err := s.list(first, r)
+	unanswered := errors.Is(err, platform.ErrUnanswered) || (err != nil && first.Err() != nil)
+
+	if !unanswered || ctx.Err() != nil {
+		return r, l, err
+	}
+
 	s.mu.Lock()
-	sent := boottime.Now()
-	id, token, acknowledged := s.gate.Worker.ID, s.gate.Token, s.gate.EndToAcknowledge()
-	deadline := s.gate.ExtendLease(sent)
-	wait := s.listWait()
+	now := boottime.Now()
+	s.unansweredAt = now
+	// It neither extends leases nor acknowledges ends: the worker may not answer it either.
+	r = listRequest{
+		sent:  now,
+		id:    s.gate.Worker.ID,
+		token: s.gate.Token,
+	}
+	s.repeats.Log(s.log, zap.InfoLevel, "ListingRepeated", err.Error(), zap.String("Worker", r.id))
 	s.mu.Unlock()
 
-	l, err := s.worker.ExtendLeases(ctx, id, token, deadline, acknowledged, wait)
-	s.meter.Count("listings_total", "answered", strconv.FormatBool(err == nil))
+	l, err = s.list(ctx, r)
+
+	return r, l, err
+}
+
+// listOnce reads one listing, applies it, and sends the paces that follow from it.
+func (s *Sidecar) listOnce(ctx context.Context) {
+	r, l, err := s.readListing(ctx)
+	id, token := r.id, r.token
 
 	s.mu.Lock()
 	now := boottime.Now()
 
 	if err != nil {
-		s.handleListError(sent, now, id, token, l, err)
+		s.handleListError(r.sent, now, id, token, l, err)
 		s.mu.Unlock()
 		pause(ctx, s.announced, silentPause)
 
@@ -86,8 +161,8 @@
 		return
 	}
 
-	events := s.gate.HandleListing(sent, now, token, l)
-	s.gate.MarkAcknowledged(l.Incarnation, acknowledged)
+	events := s.gate.HandleListing(r.sent, now, token, l)
+	s.gate.MarkAcknowledged(l.Incarnation, r.acknowledged)
 	sample := s.gate.Sample(now)
 	s.learner.Observe(sample)
 	paces := s.gate.Pace(sample, s.learner)
@@ -127,23 +202,29 @@
 
 // listWait returns how long the worker may wait for an end before it answers. The
 // worker must not wait while ends are acknowledged: if it restarted meanwhile, its new
-// ends would have the acknowledged numbers.
-func (s *Sidecar) listWait() time.Duration {
-	if s.gate.Token == 0 || !s.gate.Synced || len(s.gate.Unrecorded) > 0 || s.gate.EndToAcknowledge() > 0 {
+// ends would have the acknowledged numbers. Nor must it if it has not answered: no task is
+// started on it and no lease extended until it does.
+func (s *Sidecar) listWait(now time.Duration) time.Duration {
+	if !s.gate.Answering || s.gate.Token == 0 || !s.gate.Synced || len(s.gate.Unrecorded) > 0 || s.gate.EndToAcknowledge() > 0 {
 		return 0
 	}
 
+	wait := maxListWait
+	if s.unansweredAt > 0 && now-s.unansweredAt < lossyTime {
+		wait = maxLossyWait
+	}
+
 	for _, e := range s.gate.Runs {
 		if e.Phase == gate.InDoubt {
 			return 0
 		}
 
 		if e.Order.Target > 0 {
-			return maxServingWait
+			wait = min(wait, maxServingWait)
 		}
 	}
 
-	return maxListWait
+	return wait
 }
 
 // handleListError applies the failure of a listing that was requested with a token at the
@@ -350,6 +431,9 @@
 	case errors.Is(err, platform.ErrUnanswered):
 		s.log.Warn("StartUnanswered", zap.String("Job", o.Task.Job), zap.Stringer("Task", o.Task), zap.Int("Attempt", o.Attempt), jsonlog.Error(err))
 		s.gate.MarkInDoubt(o.Task, o.Attempt)
+		s.unansweredAt = boottime.Now()
+		// A listing under way has the token of before, which doesn't settle the doubt.
+		s.endListing()
 		notify(s.listNow)
 	default:
 		s.repeats.Log(s.log, zap.WarnLevel, "StartRejected", err.Error(), zap.String("Job", o.Task.Job),
