Don't take calls that their callers give up for failures of the store

Callers could have seen submissions refused, or relayed, for up to 250 ms by an entry whose store answers: by one whose term as the leader has just ended, and by one that two callers with little time left asked for the state of jobs.

Cause: the circuit breaker counted each failed call. The end of a term ends the leader's two feeds at once, and a read whose caller's time is over fails before it is sent; two failures in a row open the breaker, and only a probe closes it.

A feed that its caller ends no longer counts, nor a read that its caller gives up before the shortest wait for an answer of the store (450 ms). A read that waited longer counts as before.

--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -36,7 +36,7 @@
 )
 
 // observedStore wraps s so that its calls update the clock, the average latency, the
-// breaker and the metrics. Of feed calls, only failures count.
+// breaker and the metrics. Of feed calls, only failures count, and none that the caller ended.
 func (c *Coordinator) observedStore(s *rows.Store) *rows.Store {
 	return &rows.Store{
 		Commit: func(ctx context.Context, t rows.Transaction) (rows.Stamp, error) {
@@ -45,13 +45,16 @@
 		Range: func(ctx context.Context, table, part, from, to string) (rows.Page, error) {
 			sent := c.now()
 			p, err := s.Range(ctx, table, part, from, to)
-			c.observe(sent, p.Stamp, err)
+			if ctx.Err() == nil || err == nil || c.now()-sent >= minAnswerWait {
+				// A caller that gives up sooner says nothing of the store.
+				c.observe(sent, p.Stamp, err)
+			}
 
 			return p, err
 		},
 		Feed: func(ctx context.Context, table string, after int64, wait time.Duration) (rows.Page, error) {
 			p, err := s.Feed(ctx, table, after, wait)
-			if err != nil && !errors.Is(err, rows.ErrHistoryLost) {
+			if err != nil && ctx.Err() == nil && !errors.Is(err, rows.ErrHistoryLost) {
 				// The duration of a long poll doesn't reflect the store's latency.
 				c.observe(c.now(), rows.Stamp{}, err)
 			}
