Fence off an unanswered pace before the next one

Callers could have seen a serving task over its target for good beside a filling task that counts as throttled, or a filling task held at a low pace (HARM).

Cause: a worker may carry out an unanswered call seconds later, after newer ones. The sidecar ordered the pace anew after the next listing, which had the same token, so that the older pace could follow the newer one, and the gate, which knew the newer one, ordered none.

Now the token is raised as for an unanswered start. Paces follow a listing, which is requested with the new token: the older pace takes effect before that, and is then replaced, or never. A start in flight may be fenced off by it and is then ordered again.

--- a/core/gate/pace.go
+++ b/core/gate/pace.go
@@ -155,13 +155,20 @@
 	return orders
 }
 
-// HandlePaceFailure records that a pace order may have had no effect.
+// HandlePaceFailure records that a pace order had no effect.
 func (g *Gate) HandlePaceFailure(o PaceOrder) {
 	if e := g.Runs[o.Task]; e != nil && e.Attempt == o.Attempt && e.PacePercent == o.Percent {
 		e.PacePercent = UnknownPace
 	}
 }
 
+// HandlePaceInDoubt records that a pace order went unanswered. It raises the fencing token, so
+// that the order can't take effect after the next one, which follows a call with the new token.
+func (g *Gate) HandlePaceInDoubt(o PaceOrder) {
+	g.HandlePaceFailure(o)
+	g.RaiseToken(0)
+}
+
 // headrooms returns the headroom of each serving task in a sample.
 func (g *Gate) headrooms(s interference.Sample, l *interference.Learner) []headroom {
 	var list []headroom
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -244,7 +244,11 @@
 
 	if err != nil {
 		s.mu.Lock()
-		s.gate.HandlePaceFailure(p)
+		if errors.Is(err, platform.ErrUnanswered) {
+			s.gate.HandlePaceInDoubt(p)
+		} else {
+			s.gate.HandlePaceFailure(p)
+		}
 		s.mu.Unlock()
 	}
 
