Repeat a stop that the worker did not carry out while the run goes on

Callers could have seen a task of a cancelled job run to its end (UNASKED), or a run that makes no progress on a sick worker never moved.

Cause: a stop that the worker answered with 429 or 503, or that couldn't be sent, counted as carried out, and five unanswered ones ended the tries. The leader was to order the stop again when it sees the run, but the sidecar reports a run that doesn't change once in a session, and the leader orders a move once.

Evidence: TestStopNotCarriedOut failed before:

--- FAIL: TestStopNotCarriedOut/Silent (5.00s) orders_test.go:108: the run goes on after 5 calls --- FAIL: TestStopNotCarriedOut/Unavailable (5.00s) orders_test.go:108: the run goes on after 1 calls --- FAIL: TestStopNotCarriedOut/TooMany (5.00s) orders_test.go:108: the run goes on after 1 calls

Now a stop is sent again each 0.2 s while the run goes on, the worker is the same and no later leader is connected, which orders its own stops by the full report. After 100 tries the run is reported again. A stop under way is not begun twice: the leader repeats those of runs that are reported each second.

--- a/sidecar/orders_test.go
+++ b/sidecar/orders_test.go
@@ -1,12 +1,16 @@
 package sidecar
 
 import (
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
+	"trefoildeck/io/peer/peerpb"
 
 	"gotest.tools/v3/assert"
 )
@@ -44,3 +48,65 @@
 	assert.Equal(t, s.gate.Runs[order.Task].PacePercent, gate.UnknownPace)
 	assert.Assert(t, s.gate.Token > token)
 }
+
+// TestStopNotCarriedOut checks that a stop is repeated while the run goes on. The run of a
+// cancelled job ran to its end if the worker was too busy for one stop or silent for 2 s.
+func TestStopNotCarriedOut(t *testing.T) {
+	const silent = 0
+
+	tests := map[string]struct {
+		status   int
+		failures int64
+	}{
+		"TooMany":     {http.StatusTooManyRequests, 3},
+		"Unavailable": {http.StatusServiceUnavailable, 3},
+		"Silent":      {silent, 6},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+
+			var calls atomic.Int64
+
+			stopped := make(chan struct{})
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				// A client that gives up is noticed once its request is read.
+				_, err := io.Copy(io.Discard, r.Body)
+				assert.Check(t, err)
+
+				switch {
+				case calls.Add(1) > c.failures:
+					_, err := w.Write([]byte(`{"clock_ms":1000}`))
+					assert.Check(t, err)
+					close(stopped)
+				case c.status == silent:
+					<-r.Context().Done()
+				default:
+					w.WriteHeader(c.status)
+				}
+			}))
+			defer server.Close()
+
+			s := newTestSidecar(t, server)
+			s.handleAnnouncement(gate.Announcement{Incarnation: gate.Incarnation{ID: "i-1"}})
+
+			order := gate.StartOrder{
+				Task:    job.TaskID{Job: "00000000000000aa"},
+				Attempt: 1,
+			}
+			s.gate.Reserve(0, order)
+			s.gate.Confirm(0, order.Task, 1)
+			s.handleOrders(&peerpb.Orders{
+				WorkerID: "i-1",
+				Stops:    []*peerpb.StopOrder{{Task: order.Task.String(), Attempt: 1}},
+			})
+
+			select {
+			case <-stopped:
+			case <-time.After(5 * time.Second):
+				t.Errorf("the run goes on after %d calls", calls.Load())
+			}
+		})
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -72,6 +72,8 @@
 	// reported has the runs that were reported to the leader as started, with the
 	// last reported checkpoint.
 	reported map[job.TaskID]string
+	// stopping has the stop orders that are being carried out.
+	stopping map[stopOrder]bool
 
 	// listNow requests a listing without further delay.
 	listNow chan struct{}
@@ -98,6 +100,7 @@
 		learner:   interference.New(),
 		pings:     map[uint64]time.Duration{},
 		reported:  map[job.TaskID]string{},
+		stopping:  map[stopOrder]bool{},
 		listNow:   make(chan struct{}, 1),
 		announced: make(chan struct{}, 1),
 	}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -278,8 +278,15 @@
 	}
 
 	for _, stop := range o.Stops {
-		if current {
-			go s.stop(s.gate.Worker.ID, s.gate.Token, stop.Task, stop.Attempt)
+		o := stopOrder{
+			term:    s.leader.Term,
+			worker:  s.gate.Worker.ID,
+			task:    stop.Task,
+			attempt: stop.Attempt,
+		}
+		if current && !s.stopping[o] {
+			s.stopping[o] = true
+			go s.stop(o, s.gate.Token)
 		}
 	}
 
@@ -376,27 +383,67 @@
 	}
 }
 
-// maxStopTries bounds how often a stop order is sent. If all tries fail, the leader
-// orders the stop again when it sees the run.
-const maxStopTries = 5
+const (
+	// maxStopTries bounds how often a stop order is sent. If all tries fail, the run is
+	// reported once more, so that the leader orders the stop again.
+	maxStopTries = 100
+	// stopPause is the pause before a stop is sent again to a worker that did not carry it out.
+	stopPause = 200 * time.Millisecond
+)
+
+// stopOrder is the order of the leader of a term to stop a run of a worker.
+type stopOrder struct {
+	term    int64
+	worker  string
+	task    job.TaskID
+	attempt int
+}
 
-func (s *Sidecar) stop(id string, token int64, t job.TaskID, attempt int) {
+// stop orders the end of a run until the worker has carried it out or it is no longer needed.
+func (s *Sidecar) stop(o stopOrder, token int64) {
 	for range maxStopTries {
-		err := s.worker.Stop(context.Background(), id, token, t, attempt)
+		err := s.worker.Stop(context.Background(), o.worker, token, o.task, o.attempt)
+		carriedOut := err == nil || (errors.Is(err, platform.ErrRejected) && !errors.Is(err, platform.ErrUnavailable))
+
+		if carriedOut {
+			s.log.Info("TaskStopped", zap.String("Job", o.task.Job), zap.Stringer("Task", o.task), zap.Int("Attempt", o.attempt), jsonlog.Error(err))
+		} else if !errors.Is(err, platform.ErrFenced) {
+			s.repeats.Log(s.log, zap.WarnLevel, "StopUnanswered", err.Error(), zap.String("Job", o.task.Job),
+				zap.Stringer("Task", o.task), zap.Int("Attempt", o.attempt))
+		}
 
-		switch {
-		case err == nil, errors.Is(err, platform.ErrRejected):
-			s.log.Info("TaskStopped", zap.String("Job", t.Job), zap.Stringer("Task", t), zap.Int("Attempt", attempt), jsonlog.Error(err))
+		s.mu.Lock()
+		fenced := token < s.gate.Token
+		token = s.gate.Token
+		over := carriedOut || !s.stopNeeded(o)
+
+		if over {
+			delete(s.stopping, o)
+		}
+		s.mu.Unlock()
 
+		if over {
 			return
-		case errors.Is(err, platform.ErrFenced):
-			s.mu.Lock()
-			token = s.gate.Token
-			s.mu.Unlock()
-		default:
-			s.log.Warn("StopUnanswered", zap.String("Job", t.Job), zap.Stringer("Task", t), zap.Int("Attempt", attempt), jsonlog.Error(err))
+		}
+
+		if !fenced {
+			pause(context.Background(), nil, stopPause)
 		}
 	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	delete(s.stopping, o)
+	delete(s.reported, o.task)
+}
+
+// stopNeeded reports whether a stop has to be sent again: the run goes on, and no later leader,
+// which has it in its report, decides on it. The caller holds the lock.
+func (s *Sidecar) stopNeeded(o stopOrder) bool {
+	e := s.gate.Runs[o.task]
+
+	return s.leader.Term == o.term && s.gate.Worker.ID == o.worker && e != nil && e.Attempt <= o.attempt
 }
 
 // pause waits until a signal arrives, d has passed or ctx ends.
