Answer a peer's relayed call and query in the session that asked

Callers could have been told that a job is accepted which isn't stored, or the state of another job.

Cause: the leader sent the answer in the current session of the link, which may lead to the restarted process. Each process numbers its calls from 1, so that it took the answer to its predecessor's call for the one to its own call of the same number.

Now an answer goes out in the session of its call. If that has ended, the caller has taken the call for unknown.

--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -24,11 +24,15 @@
 }
 
 func (n *nodeLink) send(f *peerpb.Frame) {
-	if n.session == nil {
-		return
+	if n.session != nil {
+		n.sendIn(n.session, f)
 	}
+}
 
-	if err := n.session.Send(f); err != nil {
+// sendIn sends an answer in the session of its question: a process that has restarted
+// since numbers its questions anew.
+func (n *nodeLink) sendIn(s *peer.Session, f *peerpb.Frame) {
+	if err := s.Send(f); err != nil {
 		n.log.Warn("NodeUnreachable", zap.String("Node", n.node.Name), jsonlog.Error(err))
 	}
 }
@@ -200,11 +204,7 @@
 		// deliverStoreAnswer locks c.mu.
 		go l.c.deliverStoreAnswer(b.StoreAnswer)
 	case *peerpb.Frame_StoreCall:
-		go l.c.serveRelay(context.Background(), b.StoreCall, func(f *peerpb.Frame) {
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			n.send(f)
-		})
+		go l.c.serveRelay(context.Background(), b.StoreCall, func(f *peerpb.Frame) { n.sendIn(s, f) })
 	case *peerpb.Frame_Written:
 		// applyJobRow locks l.mu, which is held here.
 		go l.c.guarded("RowNotHandled", func() { l.applyJobRow(peer.DecodeWrittenRow(b.Written)) })
@@ -212,11 +212,7 @@
 		q := b.Query
 		// answerQuery locks l.mu, which is held here.
 		go l.c.guarded("QueryNotAnswered", func() {
-			a := l.answerQuery(q)
-
-			l.mu.Lock()
-			defer l.mu.Unlock()
-			n.send(&peerpb.Frame{Body: &peerpb.Frame_QueryAnswer{QueryAnswer: a}})
+			n.sendIn(s, &peerpb.Frame{Body: &peerpb.Frame_QueryAnswer{QueryAnswer: l.answerQuery(q)}})
 		})
 	default:
 	}
