Check in TestHistories that leaders count the jobs that wait

Every 0.25 s of a history, a leader that has run and reached the store for 3 s must say that at least half as many jobs wait as were accepted over 5 s before and have had no start.

--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -46,7 +46,8 @@
 }
 
 // TestHistories checks under random faults that no task runs twice at once or after it is
-// done, that no worker is over its capacity, and that all jobs finish once the faults end.
+// done, that no worker is over its capacity, that leaders count the jobs that wait, and that all
+// jobs finish once the faults end.
 func TestHistories(t *testing.T) {
 	const seeds = 11
 
@@ -126,6 +127,7 @@
 		doneAt:    map[job.TaskID]time.Duration{},
 		lastStart: map[job.TaskID]time.Duration{},
 		finished:  map[job.TaskID]bool{},
+		begun:     map[string]bool{},
 	}
 
 	for n := range minAgents + w.random.IntN(maxAgents-minAgents+1) {
@@ -170,6 +172,7 @@
 
 	w.at(time.Second, w.submitJobs)
 	w.at(5*time.Second, func() { w.injectFaults(1) })
+	w.at(5*time.Second, w.checkPending)
 	w.run(faultsUntil)
 	w.logf("the faults end")
 
@@ -209,8 +212,9 @@
 	}
 	w.store.version++
 	w.jobs = append(w.jobs, jobRow{
-		record:  r,
-		version: w.store.version,
+		record:   r,
+		version:  w.store.version,
+		accepted: w.now,
 	})
 	w.logf("job %s is submitted", r.ID)
 
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -41,6 +41,8 @@
 	// lastStart when the task last started.
 	doneAt, lastStart map[job.TaskID]time.Duration
 	finished          map[job.TaskID]bool
+	// begun has the jobs of which a task has started.
+	begun map[string]bool
 }
 
 // faults are the mean numbers of faults in a second, or probabilities.
@@ -57,8 +59,9 @@
 }
 
 type jobRow struct {
-	record  job.Record
-	version int64
+	record   job.Record
+	version  int64
+	accepted time.Duration
 }
 
 // event runs at a time; events of the same time run in the order of their numbers.
@@ -141,6 +144,7 @@
 	alive       bool
 	life        int
 	pausedUntil time.Duration
+	begunAt     time.Duration
 }
 
 // after runs a function after a duration, or once the process resumes, unless it has
@@ -166,7 +170,7 @@
 func (p *process) begin() {
 	p.life++
 	p.alive = true
-	p.pausedUntil = 0
+	p.pausedUntil, p.begunAt = 0, p.w.now
 }
 
 // end ends a process. If its machine loses power, no other process is told.
@@ -687,6 +691,7 @@
 	}
 
 	w.lastStart[o.Task] = w.now
+	w.begun[o.Task.Job] = true
 }
 
 // checkDone checks an end that is taken note of: the task must not have started since.
