--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -370,15 +370,15 @@
 	}
 
 	for _, stop := range o.Stops {
-		o := stopOrder{
+		order := stopOrder{
 			term:    s.leader.Term,
 			worker:  s.gate.Worker.ID,
 			task:    stop.Task,
 			attempt: stop.Attempt,
 		}
-		if current && !s.stopping[o] {
-			s.stopping[o] = true
-			go s.stop(o, s.gate.Token)
+		if current && !s.stopping[order] {
+			s.stopping[order] = true
+			go s.stop(order, s.gate.Token)
 		}
 	}
 
