Keep a sidecar's own evidence of interference while the next leader's pool lacks it

Callers could have seen serving tasks over their targets, or filling tasks throttled for nothing, for up to 3 s after a change of leaders.

Cause: a learner leaves out the part of its own evidence that the pool includes. With a new leader it went on to do so, although the new pool, which the leader sends as it connects, has none of it until the learner's next report and the leader's next broadcast.

With the first session of a term, the own evidence now counts beside the pool again. A later session of the term changes nothing, as that leader's pool has it.

--- a/core/interference/interference.go
+++ b/core/interference/interference.go
@@ -271,7 +271,16 @@
 	}
 }
 
-// Resend marks all own estimates as changed, for a new pool that has none of them.
+// LeavePool prepares for the estimates of a new pool, which has none of the learner's own
+// evidence. What is known of the former pool's other evidence is kept.
+func (l *Learner) LeavePool() {
+	for _, e := range l.pairs {
+		e.pooled = e.pooled.subtract(e.included)
+		e.included = Estimate{}
+	}
+}
+
+// Resend marks all own estimates as changed, for a pool that may have none of them.
 func (l *Learner) Resend() {
 	for p, e := range l.pairs {
 		if e.own.Weight > 0 {
--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -100,8 +101,9 @@
 	}
 }
 
-// connectLeader opens a session of a leader with a sidecar. The channel gets its reports.
-func connectLeader(t *testing.T, s *Sidecar) <-chan *peerpb.WorkerReport {
+// connectLeader opens a session of the leader of a term with a sidecar. The channel gets its
+// reports.
+func connectLeader(t *testing.T, s *Sidecar, term int64) <-chan *peerpb.WorkerReport {
 	t.Helper()
 
 	var c net.ListenConfig
@@ -110,9 +112,11 @@
 	assert.NilError(t, err)
 
 	reports, open := make(chan *peerpb.WorkerReport, 10), make(chan struct{})
+	// A session that another one replaces is dialled again.
+	opened := sync.OnceFunc(func() { close(open) })
 	server := peer.Server{
 		OnOpen: func(p *peer.Session) error {
-			defer close(open)
+			defer opened()
 
 			return s.acceptLeader(p)
 		},
@@ -122,8 +126,13 @@
 	}
 	link := peer.Link{
 		Address: netip.MustParseAddrPort(listener.Addr().String()),
-		Hello:   func() *peerpb.Hello { return &peerpb.Hello{Role: peer.RoleLeader} },
-		OnOpen:  func(*peer.Session) {},
+		Hello: func() *peerpb.Hello {
+			return &peerpb.Hello{
+				Role: peer.RoleLeader,
+				Term: term,
+			}
+		},
+		OnOpen: func(*peer.Session) {},
 		OnFrame: func(_ *peer.Session, f *peerpb.Frame) {
 			if r := f.GetWorkerReport(); r != nil {
 				reports <- r
@@ -158,7 +167,7 @@
 	}
 	list()
 
-	reports := connectLeader(t, s)
+	reports := connectLeader(t, s, 1)
 	assert.Assert(t, (<-reports).GetFull())
 
 	task := job.TaskID{Job: "00000000000000aa"}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -186,10 +186,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	term := s.leader.Term
+
 	if err := s.leader.Accept(p); err != nil {
 		return err
 	}
 
+	if s.leader.Term != term {
+		s.learner.LeavePool()
+	}
+
 	clear(s.pings)
 	clear(s.reported)
 	s.learner.Resend()
