Take the age of a job as 0 if its entry didn't know the store's clock

Callers could have seen a job wait behind others, or before them, for no reason.

Cause: the entry's estimate of the store's clock was then the time for which its machine had run, which has nothing to do with it. A job's age, and with it its place in the order of deadlines, came from the difference of the two.

Evidence: TestAcceptedWithoutClock failed before:

--- FAIL: TestAcceptedWithoutClock (0.00s) reload_test.go:155: assertion failed: 2h2m24.001s (age time.Duration) != 0s (time.Duration)

Now the job is stored without a time of acceptance, and counts as new when a leader reads it.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -396,7 +396,7 @@
 	}
 }
 
-// decodeJob returns a job's record and the time since its acceptance.
+// decodeJob returns a job's record and the time since its acceptance, 0 if unknown.
 func (l *leader) decodeJob(r rows.Row) (job.Record, time.Duration, error) {
 	var record job.Record
 	if err := json.Unmarshal(r.Value, &record); err != nil {
@@ -414,6 +414,10 @@
 		return job.Record{}, 0, fmt.Errorf("decode job: %w", err)
 	}
 
+	if record.Accepted == 0 {
+		return record, 0, nil
+	}
+
 	now, _ := l.c.storeNow()
 
 	return record, max(0, now-record.Accepted), nil
--- a/coordinator/reload_test.go
+++ b/coordinator/reload_test.go
@@ -134,3 +134,24 @@
 	cancel()
 	synctest.Wait()
 }
+
+// TestAcceptedWithoutClock checks the age of a job that was accepted by an entry that doesn't know
+// the store's clock, as the store has only answered it through a peer. The age came from the
+// time for which the entry's machine had run.
+func TestAcceptedWithoutClock(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.NewRowStore()
+		l := newTestLeader(t, s)
+		entry := newTestCoordinator(s.Store())
+		entry.now = func() time.Duration { return time.Hour }
+		entry.configuration.Store(&config.Configuration{})
+
+		// The entry's machine has run for an hour, the store for three.
+		time.Sleep(3 * time.Hour)
+		assert.NilError(t, entry.accept(t.Context(), config.Queue{}, jobID, job.Spec{Steps: []job.Step{{Count: 1}}}))
+
+		_, age, err := l.decodeJob(s.Rows(jobTable)[0])
+		assert.NilError(t, err)
+		assert.Equal(t, age, time.Duration(0))
+	})
+}
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -151,12 +151,16 @@
 	}
 }
 
-// storeNow returns an upper bound of the store's clock, and whether it is known.
+// storeNow returns an upper bound of the store's clock, and whether it is known; otherwise 0.
 func (c *Coordinator) storeNow() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return c.clock.Latest(c.now()), c.clock.Known()
+	if !c.clock.Known() {
+		return 0, false
+	}
+
+	return c.clock.Latest(c.now()), true
 }
 
 // storeReachable reports whether a request to the store is likely to succeed, directly
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -114,7 +114,7 @@
 	MaxAttempts   int
 	Stretch       float64
 	TargetLatency time.Duration
-	// Accepted is the time of acceptance on the store's monotonic clock.
+	// Accepted is the time of acceptance on the store's monotonic clock, 0 if unknown.
 	Accepted time.Duration
 	Spec     Spec
 }
