--- a/sidecar/leave_test.go
+++ b/sidecar/leave_test.go
@@ -146,7 +146,7 @@
 		s.listOnce(t.Context())
 	}
 
-	ends := w.recordEnds(s, connectLeader(t, s))
+	ends := w.recordEnds(s, connectLeader(t, s, 1))
 	w.startRun(s, job.TaskID{Job: "00000000000000aa"}, time.Millisecond)
 
 	ctx, cancel := context.WithCancel(t.Context())
@@ -214,7 +214,7 @@
 
 				var ends <-chan *peerpb.EndReport
 				if !c.leaderAfter {
-					ends = w.recordEnds(s, connectLeader(t, s))
+					ends = w.recordEnds(s, connectLeader(t, s, 1))
 				}
 
 				w.startRun(s, task, duration)
@@ -232,7 +232,7 @@
 					s = newTestSidecar(t, w.server)
 					s.handleAnnouncement(announcement)
 
-					ends = w.recordEnds(s, connectLeader(t, s))
+					ends = w.recordEnds(s, connectLeader(t, s, 1))
 
 					go func() { assert.Check(t, s.listLoop(t.Context())) }()
 				}
@@ -243,7 +243,7 @@
 
 				if c.leaderAfter {
 					time.Sleep(50 * time.Millisecond)
-					assertOver(t, <-connectLeader(t, s), task)
+					assertOver(t, <-connectLeader(t, s, 1), task)
 
 					return
 				}
--- a/sidecar/malformed_test.go
+++ b/sidecar/malformed_test.go
@@ -102,7 +102,7 @@
 	s.listOnce(t.Context())
 	s.listOnce(t.Context())
 
-	reports := connectLeader(t, s)
+	reports := connectLeader(t, s, 1)
 	r := <-reports
 	assert.Assert(t, r.GetFull() && r.GetReady())
 
