Leave the text and checkpoint out of the orders of runs found on a worker

Callers could have seen the runs of a worker lapse and no task start there, with 300 runs and specs of 4,000 bytes, after a restart of its agent.

Cause: the leader sends the orders of all runs that an agent found in one frame, each with the job's whole text. The agent takes no frame above 1 MiB and ends the session; the next session's report brings the same frame.

The agent needs the sizes, flags, images and targets of these runs only: it never sends their starts again.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -53,8 +53,8 @@
 	// Placements has the data behind each placement, parallel to Starts.
 	Placements []Placement
 	Stops      []Stop
-	// Adopted has the orders of runs that the node found on its worker. The node needs
-	// them to know the sizes of the runs.
+	// Adopted has the orders of runs that the node found on its worker, without text and
+	// checkpoint. The node needs them to know the sizes of the runs.
 	Adopted []gate.StartOrder
 }
 
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -217,8 +217,12 @@
 	}
 
 	if !g.OrderKnown {
+		order := f.startOrder(j, s, t, g.Task)
+		// The run has them already, and a worker's runs are sent in one frame.
+		order.Text, order.Checkpoint = "", ""
+
 		o := f.ordersFor(w)
-		o.Adopted = append(o.Adopted, f.startOrder(j, s, t, g.Task))
+		o.Adopted = append(o.Adopted, order)
 	}
 
 	r := w.runs[g.Task]
