Count the end of a gang's earlier attempt after the gang found no room

What a caller could see: a gang that has ended as done starts again.

The next number of the gang is still above the highest that any member was ordered.

TestGangEarlierAttemptDone failed before: "assertion failed: Queued (f.jobs[jobA].state job.State) != Succeeded (job.Succeeded job.State)".

--- a/core/fleet/gang.go
+++ b/core/fleet/gang.go
@@ -54,7 +54,7 @@
 
 		if placed < len(s.tasks) {
 			f.release(j, s, t, id)
-			t.attempt = attempt
+			t.attempt = t.ended
 
 			continue
 		}
--- a/core/fleet/gang_test.go
+++ b/core/fleet/gang_test.go
@@ -141,3 +141,36 @@
 	})
 	assert.Equal(t, f.jobs[jobA].state, job.Succeeded)
 }
+
+// TestGangEarlierAttemptDone checks that a gang isn't started again when an attempt before some
+// that didn't run turns out to have ended as done after the gang found no room. That end was passed
+// over and acknowledged.
+func TestGangEarlierAttemptDone(t *testing.T) {
+	f := New(1)
+	f.Add(0, 0, record(jobA, gangStep(6)))
+	f.Report(0, "n1", described("n1"))
+	f.Report(0, "n2", described("n2"))
+
+	now := time.Duration(0)
+
+	for attempt := 1; attempt <= 2; attempt++ {
+		now += time.Second
+
+		for node, list := range starts(f.Schedule(now, time.Time{})) {
+			for _, o := range list {
+				assert.Equal(t, o.Attempt, attempt)
+				f.RecordEnd(now, node, memberEnd(o.Task.Index, attempt, gate.NotRun))
+			}
+		}
+	}
+
+	leaving := described("n2")
+	leaving.Ready = false
+	f.Report(now, "n2", leaving)
+
+	now += time.Second
+	assert.Equal(t, len(allStarts(f.Schedule(now, time.Time{}))), 0, "one worker has room for four tasks only")
+
+	f.RecordEnd(now, "n1", memberEnd(0, 1, gate.Done))
+	assert.Equal(t, f.jobs[jobA].state, job.Succeeded)
+}
