Report the run because of which a start of its task is refused

What a caller could see: two runs of one task at once.

The refusal named the later attempt as not run, and nothing of the run. The leader took the task for free and started it elsewhere after 50 ms; it learned of the run with the next status report, up to 1 s later. A status sent before the refusal made it stop the run, but the refusal freed the task all the same. "Take an earlier attempt that is found running for the task's attempt" helps only if the run is reported between the refusal and the next pass.

Now the refusal comes with the run, which the leader makes the task's attempt in the same report.

TestPresentRunReported failed before in its three cases: "assertion failed: 0 (int) != 1 (int)" (no run in the report). TestRefusedForEarlierAttempt, of the leader's part, passed before and after. The model's agent does the same.

--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -378,3 +378,28 @@
 		})
 	}
 }
+
+// TestRefusedForEarlierAttempt checks that a task isn't started while an earlier attempt runs
+// because of which a start of it was refused.
+func TestRefusedForEarlierAttempt(t *testing.T) {
+	now := time.Second
+	f := runningFleet(t)
+	f.RecordEnd(0, "n1", end("n1", 0, jobA, 1, gate.NotRun).End)
+	assert.Equal(t, starts(f.Schedule(now, time.Time{}))["n1"][0].Attempt, 2)
+	f.Report(now, "n2", described("n2"))
+
+	r := described("n1")
+	r.Full = false
+	r.Runs = []gate.Run{{
+		Task:       job.TaskID{Job: jobA},
+		Attempt:    1,
+		OrderKnown: true,
+		Confirmed:  true,
+	}}
+	r.Ends = []gate.EndEvent{end("n1", 0, jobA, 2, gate.NotRun)}
+	r.Ends[0].Refusal = gate.TaskPresent
+	f.Report(now, "n1", r)
+
+	now += time.Second
+	assert.Equal(t, len(starts(f.Schedule(now, time.Time{}))), 0)
+}
--- a/core/fleet/world_agent_test.go
+++ b/core/fleet/world_agent_test.go
@@ -395,7 +395,10 @@
 		}
 	}
 
-	var refused []gate.EndEvent
+	var (
+		refused []gate.EndEvent
+		present []peer.TaskRun
+	)
 
 	for _, s := range o.Starts {
 		reason := gate.WorkerReplaced
@@ -414,6 +417,13 @@
 				Incarnation: o.Incarnation,
 			})
 
+			if e := g.Runs[s.Task]; e != nil {
+				present = append(present, peer.TaskRun{
+					Task:  s.Task,
+					State: e,
+				})
+			}
+
 			continue
 		}
 
@@ -431,7 +441,7 @@
 	}
 
 	if len(refused) > 0 {
-		a.sendReport(refused)
+		a.send(false, present, refused)
 	}
 }
 
--- a/sidecar/orders_test.go
+++ b/sidecar/orders_test.go
@@ -10,6 +10,7 @@
 
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
+	"trefoildeck/io/boottime"
 	"trefoildeck/io/peer/peerpb"
 
 	"gotest.tools/v3/assert"
@@ -110,3 +111,48 @@
 		})
 	}
 }
+
+// TestPresentRunReported checks that the refusal of a start of a task of which the worker has a run
+// comes with that run. The leader took the task for free and started it elsewhere meanwhile.
+func TestPresentRunReported(t *testing.T) {
+	tests := map[gate.Refusal]func(*gate.Gate){
+		gate.TaskPresent:    func(*gate.Gate) {},
+		gate.WorkerSilent:   func(g *gate.Gate) { g.Answering = false },
+		gate.WorkerDraining: func(g *gate.Gate) { g.Worker.Draining = true },
+	}
+
+	for reason, prepare := range tests {
+		t.Run(string(reason), func(t *testing.T) {
+			t.Parallel()
+
+			s := listedSidecar(t, func(string) bool { return false })
+			reports := connectLeader(t, s)
+			assert.Assert(t, (<-reports).GetFull())
+
+			task := job.TaskID{Job: "00000000000000aa"}
+
+			s.mu.Lock()
+			s.gate.Authorize(boottime.Now())
+			s.gate.Reserve(0, gate.StartOrder{
+				Task:    task,
+				Attempt: 1,
+			})
+			prepare(s.gate)
+			s.handleOrders(&peerpb.Orders{
+				WorkerID: s.gate.Worker.ID,
+				Born:     s.gate.Worker.Born,
+				Starts: []*peerpb.StartOrder{{
+					Task:    task.String(),
+					Attempt: 2,
+				}},
+			})
+			s.mu.Unlock()
+
+			r := <-reports
+			assert.Equal(t, len(r.GetEnds()), 1)
+			assert.Equal(t, r.GetEnds()[0].GetReason(), string(reason))
+			assert.Equal(t, len(r.GetRuns()), 1)
+			assert.Equal(t, r.GetRuns()[0].GetAttempt(), int64(1))
+		})
+	}
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"trefoildeck/core/fleet"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
 	"trefoildeck/internal/jsonlog"
@@ -382,9 +383,18 @@
 		}
 	}
 
+	s.handleStarts(o, current)
+}
+
+// handleStarts carries out the starts of orders, which are refused if they are not for the current
+// incarnation. The caller holds the lock.
+func (s *Sidecar) handleStarts(o fleet.Orders, current bool) {
 	now := boottime.Now()
 
-	var refused []gate.EndEvent
+	var (
+		refused []gate.EndEvent
+		present []peer.TaskRun
+	)
 
 	for _, start := range o.Starts {
 		reason := gate.WorkerReplaced
@@ -406,6 +416,13 @@
 				Incarnation: o.Incarnation,
 			})
 
+			if e := s.gate.Runs[start.Task]; e != nil {
+				present = append(present, peer.TaskRun{
+					Task:  start.Task,
+					State: e,
+				})
+			}
+
 			continue
 		}
 
@@ -414,7 +431,10 @@
 	}
 
 	if len(refused) > 0 {
-		s.sendReport(refused)
+		// Without the runs that are present, the leader would take their tasks for free.
+		s.send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{
+			WorkerReport: peer.EncodeReport(false, s.gate, present, refused),
+		}})
 	}
 }
 
