Keep the lease of a start in flight over unreadable and truncated listings

What a caller could see: two runs of one task at once.

Now the listing counts as not named until a complete one follows, which keeps the deadline.

TestTruncatedAfterUnreadable failed before: "assertion failed: 1 (int) != 0 (int)" (a run taken for lapsed after 1 s of its lease).

--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -443,6 +443,36 @@
 	assert.Equal(t, len(g.Runs), 0)
 }
 
+// TestTruncatedAfterUnreadable checks that a start that was in flight when a listing had a run that
+// can't be decoded isn't taken for lapsed early, if there are more ends than the next listing has.
+// Its lease was forgotten.
+func TestTruncatedAfterUnreadable(t *testing.T) {
+	g := syncedGate(t)
+	g.list(0, nil, nil)
+	g.Reserve(0, StartOrder{
+		Task:    taskA,
+		Attempt: 1,
+	})
+
+	l := Listing{
+		Incarnation:    g.Worker.Incarnation,
+		Clock:          time.Second,
+		Malformed:      []string{"running [1]"},
+		UnreadableRuns: 1,
+	}
+	g.HandleListing(0, 0, g.Token, l)
+
+	l.Malformed, l.UnreadableRuns, l.Truncated = nil, 0, true
+	g.HandleListing(0, 0, g.Token, l)
+
+	l.Truncated = false
+	g.HandleListing(0, 0, g.Token, l)
+
+	g.Confirm(0, taskA, 1)
+	assert.Equal(t, len(g.HandleUnanswered(time.Second)), 0)
+	assert.Assert(t, len(g.HandleUnanswered(5*time.Second)) > 0)
+}
+
 // TestFoundRunsTakenForLapsed checks that the runs that a restarted sidecar finds end by
 // the lease that its predecessor may have granted, whatever the worker's clock reads.
 func TestFoundRunsTakenForLapsed(t *testing.T) {
--- a/core/gate/unreadable.go
+++ b/core/gate/unreadable.go
@@ -10,10 +10,11 @@
 // sent. An end among it may be the success of any run that isn't listed, and a run one that the
 // leader doesn't know of: neither can be named to the leader. So nothing is admitted, no lease
 // is extended and no such end is acknowledged until the leases have lapsed. Then nothing
-// runs, and the end of a run no longer counts.
+// runs, and the end of a run no longer counts. A truncated listing may lack what the one before had.
 func (g *Gate) handleUnreadable(sent time.Duration, l Listing) {
 	g.unnamed = len(l.UnreadableEnds) > 0 ||
-		l.UnreadableRuns > 0 && l.UnreadableRuns > g.unlistedRuns(sent, l)
+		l.UnreadableRuns > 0 && l.UnreadableRuns > g.unlistedRuns(sent, l) ||
+		g.unnamed && l.Truncated
 	g.Synced = g.Synced && !g.unnamed
 	g.heldEnd = 0
 
