--- a/sidecar/orders_test.go
+++ b/sidecar/orders_test.go
@@ -126,7 +126,7 @@
 			t.Parallel()
 
 			s := listedSidecar(t, func(string) bool { return false })
-			reports := connectLeader(t, s)
+			reports := connectLeader(t, s, 1)
 			assert.Assert(t, (<-reports).GetFull())
 
 			task := job.TaskID{Job: "00000000000000aa"}
