Wait for the handler in TestPanickingHandlers before its session ends

The caller had its answer and the test ended, with the session, before the handler's write had returned.

--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -232,6 +232,7 @@
 // TestPanickingHandlers checks that a panic in the handler of a frame or of a request ends
 // only the session or the stream that it came from, with an error that has the panic.
 func TestPanickingHandlers(t *testing.T) {
+	answered := make(chan error, 1)
 	p := connect(t, func(_ context.Context, r *peer.RequestStream) {
 		head, err := r.ReadHead()
 		if err != nil {
@@ -242,7 +243,7 @@
 			panic("bad request")
 		}
 
-		assert.Check(t, r.Answer(&peerpb.AnswerHead{ID: head.GetID(), Last: true}) == nil)
+		answered <- r.Answer(&peerpb.AnswerHead{ID: head.GetID(), Last: true})
 	})
 
 	_, err := p.session.Call(t.Context(), request("bad", nil, true), nil)
@@ -250,6 +251,8 @@
 
 	_, err = p.session.Call(t.Context(), request("good", nil, true), nil)
 	assert.NilError(t, err)
+	// The caller may have the answer before the handler knows that it is sent.
+	assert.NilError(t, <-answered)
 
 	opened, failed := make(chan *peer.Session, 2), make(chan error, 1)
 	address := serve(t, &peer.Server{
