Send calls only over connections that lead to the worker's incarnation

The agent's next start had a deadline on the earlier clock. The new incarnation gave it its longest lease, to 6 s after the start, where the leader counts the agent's leases as lapsed 6.4 s after its last contact, which may be seconds before the start.

Fix: WorkerClient keeps the connections of one incarnation. Each is opened with a listing that extends and acknowledges nothing; if it names another start time, the connection is closed, and nothing was sent. An order then counts as rejected, which is true, and a listing as that of the present incarnation.

The emulator ends the connections of an incarnation with it, and the model of core/fleet lets no incarnation obey calls that were meant for another.

--- a/core/fleet/world_agent_test.go
+++ b/core/fleet/world_agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	maxStopTries    = 5
 )
 
+// errRestarted is the answer of another incarnation with the same ID. It comes with its listing.
+var errRestarted = fmt.Errorf("restarted: %w", platform.ErrRejected)
+
 // agent drives a gate as package sidecar does.
 type agent struct {
 	process
@@ -99,9 +103,10 @@
 	})
 }
 
-// call sends a call to the worker. An unanswered call may be carried out never, at once
-// or late. With wait, an answered one is held back until there is an end.
-func (a *agent) call(id string, wait time.Duration, limit time.Duration, run func(*worker) error, done func(error)) {
+// call sends a call to the worker's incarnation i. An unanswered call may be carried out never,
+// at once or late. With wait, an answered one is held back until there is an end. Another
+// incarnation does nothing, as connections end with the one that they lead to.
+func (a *agent) call(i gate.Incarnation, wait time.Duration, limit time.Duration, run func(*worker) error, done func(error)) {
 	w, k := a.w, a.w.workers[a.number]
 	finished, until := false, w.now+limit
 	finish := func(err error) {
@@ -132,8 +137,10 @@
 		case !k.alive && k.dark:
 		case !k.alive:
 			answer(platform.ErrRejected)
-		case k.id != id:
+		case k.id != i.ID:
 			answer(platform.ErrRejected)
+		case k.born != i.Born:
+			answer(errRestarted)
 		case w.now < k.silentUntil || w.chance(w.faults.loseCall):
 			k.leaveUnanswered(run)
 		case wait > 0 && len(k.ends) == 0:
@@ -218,14 +225,14 @@
 
 func (a *agent) listOnce() {
 	g, sent := a.gate, a.w.now
-	id, token, seen := g.Worker.ID, g.Token, g.EndToAcknowledge()
+	i, token, seen := g.Worker.Incarnation, g.Token, g.EndToAcknowledge()
 	deadline, wait := g.ExtendLease(sent), a.listWait()
 
 	a.pauseInside()
 	a.after(0, func() {
 		var l gate.Listing
 
-		a.call(id, wait, wait+listMargin, func(k *worker) error {
+		a.call(i, wait, wait+listMargin, func(k *worker) error {
 			if !k.obey(token, deadline) {
 				l.Clock = k.clock()
 
@@ -237,19 +244,23 @@
 
 			return nil
 		}, func(err error) {
-			if err != nil {
-				a.handleListError(id, token, l, err)
+			switch {
+			case errors.Is(err, errRestarted):
+				// The listing that opens a connection has the present incarnation.
+				l = a.w.workers[a.number].listing()
+			case err != nil:
+				a.handleListError(i.ID, token, l, err)
 				a.wait(&a.announced, silentPause, a.listLoop)
 
 				return
 			}
 
-			a.handleListing(sent, token, seen, l)
+			a.handleListing(sent, i, token, seen, l)
 		})
 	})
 }
 
-func (a *agent) handleListing(sent time.Duration, token, seen int64, l gate.Listing) {
+func (a *agent) handleListing(sent time.Duration, i gate.Incarnation, token, seen int64, l gate.Listing) {
 	g := a.gate
 	if token == 0 {
 		g.HandleUnfenced(a.w.now, l)
@@ -260,7 +271,10 @@
 
 	firstSync, answeredBefore, unknownBefore := !g.Synced, g.Answering, g.OrdersUnknown()
 	events := g.HandleListing(sent, a.w.now, token, l)
-	g.MarkAcknowledged(l.Incarnation, seen)
+
+	if l.Incarnation == i {
+		g.MarkAcknowledged(i, seen)
+	}
 
 	if firstSync && g.Synced {
 		a.sendFullReport(slices.DeleteFunc(events, func(e gate.EndEvent) bool { return e.Number > 0 }))
@@ -329,7 +343,7 @@
 
 	for _, s := range o.Stops {
 		if current {
-			a.stopTask(g.Worker.ID, g.Token, s, maxStopTries)
+			a.stopTask(g.Worker.Incarnation, g.Token, s, maxStopTries)
 		}
 	}
 
@@ -355,13 +369,13 @@
 			continue
 		}
 
-		id := g.Worker.ID
+		i := g.Worker.Incarnation
 		token, deadline := g.Reserve(a.w.now, s)
 		a.pauseInside()
 		reserved := a.w.now
 		a.after(0, func() {
 			if g.MaySend(reserved, a.w.now, s) {
-				a.startTask(id, token, deadline, s)
+				a.startTask(i, token, deadline, s)
 			} else {
 				a.sendReport(g.Reject(s.Task, s.Attempt))
 			}
@@ -373,9 +387,9 @@
 	}
 }
 
-func (a *agent) startTask(id string, token int64, deadline time.Duration, s gate.StartOrder) {
-	a.call(id, 0, orderTimeout, func(k *worker) error { return k.start(token, deadline, s) }, func(err error) {
-		if a.gate.Worker.ID != id {
+func (a *agent) startTask(i gate.Incarnation, token int64, deadline time.Duration, s gate.StartOrder) {
+	a.call(i, 0, orderTimeout, func(k *worker) error { return k.start(token, deadline, s) }, func(err error) {
+		if a.gate.Worker.ID != i.ID {
 			return
 		}
 
@@ -392,12 +406,12 @@
 	})
 }
 
-func (a *agent) stopTask(id string, token int64, s fleet.Stop, tries int) {
+func (a *agent) stopTask(i gate.Incarnation, token int64, s fleet.Stop, tries int) {
 	if tries == 0 {
 		return
 	}
 
-	a.call(id, 0, orderTimeout, func(k *worker) error { return k.stop(token, s.Task, s.Attempt) }, func(err error) {
+	a.call(i, 0, orderTimeout, func(k *worker) error { return k.stop(token, s.Task, s.Attempt) }, func(err error) {
 		switch {
 		case err == nil, errors.Is(err, platform.ErrRejected):
 			return
@@ -405,7 +419,7 @@
 			token = a.gate.Token
 		}
 
-		a.stopTask(id, token, s, tries-1)
+		a.stopTask(i, token, s, tries-1)
 	})
 }
 
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -56,19 +56,19 @@
 func (s *Sidecar) listOnce(ctx context.Context) {
 	s.mu.Lock()
 	sent := boottime.Now()
-	id, token, acknowledged := s.gate.Worker.ID, s.gate.Token, s.gate.EndToAcknowledge()
+	worker, token, acknowledged := s.gate.Worker.Incarnation, s.gate.Token, s.gate.EndToAcknowledge()
 	deadline := s.gate.ExtendLease(sent)
 	wait := s.listWait()
 	s.mu.Unlock()
 
-	l, err := s.worker.ExtendLeases(ctx, id, token, deadline, acknowledged, wait)
+	l, err := s.worker.ExtendLeases(ctx, worker, token, deadline, acknowledged, wait)
 	s.meter.Count("listings_total", "answered", strconv.FormatBool(err == nil))
 
 	s.mu.Lock()
 	now := boottime.Now()
 
 	if err != nil {
-		s.handleListError(sent, now, id, token, l, err)
+		s.handleListError(sent, now, worker, token, l, err)
 		s.mu.Unlock()
 		pause(ctx, s.announced, silentPause)
 
@@ -87,7 +87,11 @@
 	}
 
 	events := s.gate.HandleListing(sent, now, token, l)
-	s.gate.MarkAcknowledged(l.Incarnation, acknowledged)
+
+	if l.Incarnation == worker {
+		s.gate.MarkAcknowledged(worker, acknowledged)
+	}
+
 	sample := s.gate.Sample(now)
 	s.learner.Observe(sample)
 	paces := s.gate.Pace(sample, s.learner)
@@ -113,11 +117,11 @@
 	s.mu.Unlock()
 
 	for _, m := range l.Malformed {
-		s.repeats.Log(s.log, zap.ErrorLevel, "ListingMalformed", m, zap.String("Worker", id))
+		s.repeats.Log(s.log, zap.ErrorLevel, "ListingMalformed", m, zap.String("Worker", worker.ID))
 	}
 
 	for _, p := range paces {
-		s.pace(ctx, id, token, p)
+		s.pace(ctx, worker, token, p)
 	}
 
 	if endsListed {
@@ -148,8 +152,8 @@
 
 // handleListError applies the failure of a listing that was requested with a token at the
 // time sent. The caller holds the lock.
-func (s *Sidecar) handleListError(sent, now time.Duration, id string, token int64, l gate.Listing, err error) {
-	if s.gate.Worker.ID != id {
+func (s *Sidecar) handleListError(sent, now time.Duration, worker gate.Incarnation, token int64, l gate.Listing, err error) {
+	if s.gate.Worker.ID != worker.ID {
 		return
 	}
 
@@ -164,14 +168,14 @@
 	}
 
 	if s.gate.Answering {
-		s.log.Warn("WorkerSilent", zap.String("Worker", id), jsonlog.Error(err))
+		s.log.Warn("WorkerSilent", zap.String("Worker", worker.ID), jsonlog.Error(err))
 	}
 
 	answeredBefore := s.gate.Answering
 
 	if errors.Is(err, platform.ErrConnectionRefused) {
 		if events := s.gate.HandleRefused(); len(events) > 0 {
-			s.log.Info("WorkerGone", zap.String("Worker", id), zap.Int("RunsLost", len(events)))
+			s.log.Info("WorkerGone", zap.String("Worker", worker.ID), zap.Int("RunsLost", len(events)))
 			s.sendReport(events)
 		}
 	}
@@ -180,7 +184,7 @@
 	events := s.gate.HandleUnanswered(now)
 
 	if len(events) > 0 {
-		s.log.Warn("RunsLapsed", append(lease, zap.String("Worker", id), zap.Int("Runs", len(events)),
+		s.log.Warn("RunsLapsed", append(lease, zap.String("Worker", worker.ID), zap.Int("Runs", len(events)),
 			zap.Bool("Draining", s.gate.Worker.Draining))...)
 	}
 
@@ -238,8 +242,8 @@
 	}
 }
 
-func (s *Sidecar) pace(ctx context.Context, id string, token int64, p gate.PaceOrder) {
-	err := s.worker.SetPace(ctx, id, token, p.Task, p.Attempt, p.Percent)
+func (s *Sidecar) pace(ctx context.Context, worker gate.Incarnation, token int64, p gate.PaceOrder) {
+	err := s.worker.SetPace(ctx, worker, token, p.Task, p.Attempt, p.Percent)
 	s.meter.Count("paces_total")
 
 	if err != nil {
@@ -275,7 +279,7 @@
 
 	for _, stop := range o.Stops {
 		if current {
-			go s.stop(s.gate.Worker.ID, s.gate.Token, stop.Task, stop.Attempt)
+			go s.stop(s.gate.Worker.Incarnation, s.gate.Token, stop.Task, stop.Attempt)
 		}
 	}
 
@@ -307,7 +311,7 @@
 		}
 
 		token, deadline := s.gate.Reserve(now, start)
-		go s.start(now, s.gate.Worker.ID, token, deadline, start)
+		go s.start(now, s.gate.Worker.Incarnation, token, deadline, start)
 	}
 
 	if len(refused) > 0 {
@@ -317,7 +321,7 @@
 
 // start sends a start that was reserved at a local time, unless it was held up until it may no
 // longer be sent.
-func (s *Sidecar) start(reserved time.Duration, id string, token int64, deadline time.Duration, o gate.StartOrder) {
+func (s *Sidecar) start(reserved time.Duration, worker gate.Incarnation, token int64, deadline time.Duration, o gate.StartOrder) {
 	s.mu.Lock()
 	held := !s.gate.MaySend(reserved, boottime.Now(), o)
 
@@ -332,7 +336,7 @@
 	}
 
 	began := time.Now()
-	err := s.worker.Start(context.Background(), id, token, deadline, o)
+	err := s.worker.Start(context.Background(), worker, token, deadline, o)
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -340,7 +344,7 @@
 	s.meter.Observe(time.Since(began), "start_orders")
 	s.meter.Count("starts_total", "outcome", outcome(err))
 
-	if s.gate.Worker.ID != id {
+	if s.gate.Worker.ID != worker.ID {
 		return
 	}
 
@@ -376,9 +380,9 @@
 // orders the stop again when it sees the run.
 const maxStopTries = 5
 
-func (s *Sidecar) stop(id string, token int64, t job.TaskID, attempt int) {
+func (s *Sidecar) stop(worker gate.Incarnation, token int64, t job.TaskID, attempt int) {
 	for range maxStopTries {
-		err := s.worker.Stop(context.Background(), id, token, t, attempt)
+		err := s.worker.Stop(context.Background(), worker, token, t, attempt)
 
 		switch {
 		case err == nil, errors.Is(err, platform.ErrRejected):
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -59,6 +60,9 @@
 	lastEnd int64
 	// stopped has the last attempt of each task that ended or was stopped.
 	stopped map[job.TaskID]int
+	// connections has the connections to the incarnation by their remote addresses, if
+	// TrackConnection is told of them.
+	connections map[string]net.Conn
 	// changed is closed and replaced when an attempt ends or the incarnation does.
 	changed chan struct{}
 }
@@ -109,6 +113,8 @@
 		close(w.changed)
 	}
 
+	w.endConnections()
+
 	w.startedAt = time.Now()
 	w.incarnations++
 	w.sequence, w.token, w.deadline, w.lastEnd = 0, 0, 0, 0
@@ -213,9 +219,14 @@
 	}
 
 	w.mu.Lock()
-	id := w.ID
+	id, incarnation := w.ID, w.startedAt
+	ended := w.connections != nil && w.connections[r.RemoteAddr] == nil
 	w.mu.Unlock()
 
+	if ended {
+		panic(http.ErrAbortHandler)
+	}
+
 	if r.Header.Get("Target-Instance") != id {
 		a.WriteHeader(http.StatusMisdirectedRequest)
 
@@ -236,6 +247,11 @@
 	}
 
 	w.mu.Lock()
+	if !w.startedAt.Equal(incarnation) {
+		w.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
+
 	status, body := w.execute(r.URL.Path, o)
 	w.mu.Unlock()
 
@@ -245,6 +261,36 @@
 	_ = json.NewEncoder(a).Encode(body)
 }
 
+// TrackConnection is the ConnState of the worker's http.Server. Connections that it is told of
+// end with the incarnation that they lead to.
+func (w *Worker) TrackConnection(c net.Conn, s http.ConnState) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if w.connections == nil {
+		w.connections = map[string]net.Conn{}
+	}
+
+	remote := c.RemoteAddr().String()
+
+	switch {
+	case s == http.StateNew:
+		w.connections[remote] = c
+	case s == http.StateClosed && w.connections[remote] == c:
+		delete(w.connections, remote)
+	}
+}
+
+// endConnections ends the connections to an incarnation that is over. The caller holds w.mu.
+func (w *Worker) endConnections() {
+	for _, c := range w.connections {
+		// It only fails if the connection has ended.
+		_ = c.Close()
+	}
+
+	clear(w.connections)
+}
+
 // executeLater executes an order after a delay, unless the incarnation that received
 // it has ended by then: a restarted worker keeps no orders.
 func (w *Worker) executeLater(path string, o wireOrder, delay time.Duration) {
