Start jobs that are too late after those that can still be finished

What callers saw: under lasting overload, no job was finished in time.

Cause: jobs were started in the order of their deadlines. With more jobs than the workers left can run, the next one was always that which had waited longest.

Now jobs that can't be finished in time come last within their priority. Jobs with set times and jobs that last are never too late. They run as soon as there is room.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -173,7 +173,7 @@
 	f.expireRuns(now)
 
 	blocked := f.awaitsReports(now)
-	f.sortOpen()
+	f.sortOpen(now)
 	clear(f.rejected)
 
 	for _, j := range f.open {
@@ -193,12 +193,20 @@
 }
 
 // sortOpen drops the jobs that are over and sorts the others by priority, then by
-// deadline.
-func (f *Fleet) sortOpen() {
+// deadline. Jobs that are too late come last within their priority: before those that can
+// still be finished in time, they would make all of them late when there are too many.
+func (f *Fleet) sortOpen(now time.Duration) {
 	f.open = slices.DeleteFunc(f.open, func(j *jobInfo) bool { return j.state.Final() && j.active == 0 })
 
+	for _, j := range f.open {
+		j.lateness = 0
+		if j.tooLate(now) {
+			j.lateness = 1
+		}
+	}
+
 	slices.SortStableFunc(f.open, func(a, b *jobInfo) int {
-		return cmp.Or(cmp.Compare(a.record.Priority, b.record.Priority), cmp.Compare(a.deadline, b.deadline))
+		return cmp.Or(cmp.Compare(a.record.Priority, b.record.Priority), cmp.Compare(a.lateness, b.lateness), cmp.Compare(a.deadline, b.deadline))
 	})
 }
 
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -66,6 +66,12 @@
 	// active is the number of tasks in the phase active: they run or may run.
 	active   int
 	deadline time.Duration
+	// usefulUntil is when callers no longer have a use for the result, if expires is set. A job
+	// that has not started by startBy isn't finished by then.
+	expires              bool
+	usefulUntil, startBy time.Duration
+	// lateness is 1 if the job can't be finished by usefulUntil, as of the current pass.
+	lateness int
 	// retryTimes has the times when tasks that were delayed by notBefore may start.
 	retryTimes []time.Duration
 }
@@ -90,6 +96,20 @@
 	return j
 }
 
+// usefulObjectives is the time for which a result is useful, as a multiple of the objective.
+const usefulObjectives = 3
+
+// tooLate reports whether a job can't be finished while its result is useful. A job that has
+// started may have little left to do.
+func (j *jobInfo) tooLate(now time.Duration) bool {
+	limit := j.startBy
+	if j.started {
+		limit = j.usefulUntil
+	}
+
+	return j.expires && now > limit
+}
+
 // Add adds a job. Its age is the time since it was accepted. Add returns false if
 // the job is known.
 func (f *Fleet) Add(now, age time.Duration, r job.Record) bool {
@@ -97,8 +117,13 @@
 		return false
 	}
 
-	deadline := now - age + time.Duration(float64(r.Spec.CriticalPath())*r.Stretch) + r.TargetLatency
-	j := newJob(r, deadline)
+	objective := time.Duration(float64(r.Spec.CriticalPath())*r.Stretch) + r.TargetLatency
+	j := newJob(r, now-age+objective)
+
+	j.expires = r.Spec.Repeat == 0 && !slices.ContainsFunc(r.Spec.Steps, func(s job.Step) bool { return s.LongRunning })
+	j.usefulUntil = now - age + usefulObjectives*objective
+	j.startBy = j.usefulUntil - r.Spec.CriticalPath()
+
 	f.jobs[r.ID] = j
 	f.open = append(f.open, j)
 
