--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -64,7 +64,7 @@
 type listRequest struct {
 	// sent is the local time of the request.
 	sent         time.Duration
-	worker       gate.Incarnation
+	id           string
 	token        int64
 	deadline     time.Duration
 	acknowledged int64
@@ -77,7 +77,7 @@
 
 	return listRequest{
 		sent:         now,
-		worker:       s.gate.Worker.Incarnation,
+		id:           s.gate.Worker.ID,
 		token:        s.gate.Token,
 		deadline:     s.gate.ExtendLease(now),
 		acknowledged: s.gate.EndToAcknowledge(),
@@ -86,7 +86,7 @@
 }
 
 func (s *Sidecar) list(ctx context.Context, r listRequest) (gate.Listing, error) {
-	l, err := s.worker.ExtendLeases(ctx, r.worker, r.token, r.deadline, r.acknowledged, r.wait)
+	l, err := s.worker.ExtendLeases(ctx, r.id, r.token, r.deadline, r.acknowledged, r.wait)
 	s.meter.Count("listings_total", "answered", strconv.FormatBool(err == nil))
 
 	return l, err
@@ -123,11 +123,11 @@
 	s.unansweredAt = now
 	// It neither extends leases nor acknowledges ends: the worker may not answer it either.
 	r = listRequest{
-		sent:   now,
-		worker: s.gate.Worker.Incarnation,
-		token:  s.gate.Token,
+		sent:  now,
+		id:    s.gate.Worker.ID,
+		token: s.gate.Token,
 	}
-	s.repeats.Log(s.log, zap.InfoLevel, "ListingRepeated", err.Error(), zap.String("Worker", r.worker.ID))
+	s.repeats.Log(s.log, zap.InfoLevel, "ListingRepeated", err.Error(), zap.String("Worker", r.id))
 	s.mu.Unlock()
 
 	l, err = s.list(ctx, r)
@@ -138,13 +138,13 @@
 // listOnce reads one listing, applies it, and sends the paces that follow from it.
 func (s *Sidecar) listOnce(ctx context.Context) {
 	r, l, err := s.readListing(ctx)
-	worker, token := r.worker, r.token
+	id, token := r.id, r.token
 
 	s.mu.Lock()
 	now := boottime.Now()
 
 	if err != nil {
-		s.handleListError(r.sent, now, worker, token, l, err)
+		s.handleListError(r.sent, now, id, token, l, err)
 		s.mu.Unlock()
 		pause(ctx, s.announced, silentPause)
 
@@ -163,11 +163,7 @@
 	}
 
 	events := s.gate.HandleListing(r.sent, now, token, l)
-
-	if l.Incarnation == worker {
-		s.gate.MarkAcknowledged(worker, r.acknowledged)
-	}
-
+	s.gate.MarkAcknowledged(l.Incarnation, r.acknowledged)
 	sample := s.gate.Sample(now)
 	s.learner.Observe(sample)
 	paces := s.gate.Pace(sample, s.learner)
@@ -195,7 +191,7 @@
 	s.mu.Unlock()
 
 	for _, p := range paces {
-		s.pace(ctx, worker, token, p)
+		s.pace(ctx, id, token, p)
 	}
 
 	if endsListed {
@@ -232,8 +228,8 @@
 
 // handleListError applies the failure of a listing that was requested with a token at the
 // time sent. The caller holds the lock.
-func (s *Sidecar) handleListError(sent, now time.Duration, worker gate.Incarnation, token int64, l gate.Listing, err error) {
-	if s.gate.Worker.ID != worker.ID {
+func (s *Sidecar) handleListError(sent, now time.Duration, id string, token int64, l gate.Listing, err error) {
+	if s.gate.Worker.ID != id {
 		return
 	}
 
@@ -248,14 +244,14 @@
 	}
 
 	if s.gate.Answering {
-		s.log.Warn("WorkerSilent", zap.String("Worker", worker.ID), jsonlog.Error(err))
+		s.log.Warn("WorkerSilent", zap.String("Worker", id), jsonlog.Error(err))
 	}
 
 	answeredBefore := s.gate.Answering
 
 	if errors.Is(err, platform.ErrConnectionRefused) {
 		if events := s.gate.HandleRefused(); len(events) > 0 {
-			s.log.Info("WorkerGone", zap.String("Worker", worker.ID), zap.Int("RunsLost", len(events)))
+			s.log.Info("WorkerGone", zap.String("Worker", id), zap.Int("RunsLost", len(events)))
 			s.sendReport(events)
 		}
 	}
@@ -264,7 +260,7 @@
 	events := s.gate.HandleUnanswered(now)
 
 	if len(events) > 0 {
-		s.log.Warn("RunsLapsed", append(lease, zap.String("Worker", worker.ID), zap.Int("Runs", len(events)),
+		s.log.Warn("RunsLapsed", append(lease, zap.String("Worker", id), zap.Int("Runs", len(events)),
 			zap.Bool("Draining", s.gate.Worker.Draining))...)
 	}
 
@@ -335,8 +331,8 @@
 	}
 }
 
-func (s *Sidecar) pace(ctx context.Context, worker gate.Incarnation, token int64, p gate.PaceOrder) {
-	err := s.worker.SetPace(ctx, worker, token, p.Task, p.Attempt, p.Percent)
+func (s *Sidecar) pace(ctx context.Context, id string, token int64, p gate.PaceOrder) {
+	err := s.worker.SetPace(ctx, id, token, p.Task, p.Attempt, p.Percent)
 	s.meter.Count("paces_total")
 
 	if err != nil {
@@ -377,7 +373,7 @@
 	for _, stop := range o.Stops {
 		order := stopOrder{
 			term:    s.leader.Term,
-			worker:  s.gate.Worker.Incarnation,
+			worker:  s.gate.Worker.ID,
 			task:    stop.Task,
 			attempt: stop.Attempt,
 		}
@@ -431,7 +427,7 @@
 		}
 
 		token, deadline := s.gate.Reserve(now, start)
-		go s.start(now, s.gate.Worker.Incarnation, token, deadline, start)
+		go s.start(now, s.gate.Worker.ID, token, deadline, start)
 	}
 
 	if len(refused) > 0 {
@@ -444,7 +440,7 @@
 
 // start sends a start that was reserved at a local time, unless it was held up until it may no
 // longer be sent.
-func (s *Sidecar) start(reserved time.Duration, worker gate.Incarnation, token int64, deadline time.Duration, o gate.StartOrder) {
+func (s *Sidecar) start(reserved time.Duration, id string, token int64, deadline time.Duration, o gate.StartOrder) {
 	s.mu.Lock()
 	held := !s.gate.MaySend(reserved, boottime.Now(), o)
 
@@ -459,7 +455,7 @@
 	}
 
 	began := time.Now()
-	err := s.worker.Start(context.Background(), worker, token, deadline, o)
+	err := s.worker.Start(context.Background(), id, token, deadline, o)
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -467,7 +463,7 @@
 	s.meter.Observe(time.Since(began), "start_orders")
 	s.meter.Count("starts_total", "outcome", outcome(err))
 
-	if s.gate.Worker.ID != worker.ID {
+	if s.gate.Worker.ID != id {
 		return
 	}
 
@@ -513,7 +509,7 @@
 // stopOrder is the order of the leader of a term to stop a run of a worker.
 type stopOrder struct {
 	term    int64
-	worker  gate.Incarnation
+	worker  string
 	task    job.TaskID
 	attempt int
 }
@@ -562,7 +558,7 @@
 func (s *Sidecar) stopNeeded(o stopOrder) bool {
 	e := s.gate.Runs[o.task]
 
-	return s.leader.Term == o.term && s.gate.Worker.Incarnation == o.worker && e != nil && e.Attempt <= o.attempt
+	return s.leader.Term == o.term && s.gate.Worker.ID == o.worker && e != nil && e.Attempt <= o.attempt
 }
 
 // pause waits until a signal arrives, d has passed or ctx ends.
