Check in the model the starts after listed ends

The model counted an end as taken note of only once its number had been acknowledged. The rule also counts one that was listed, 100 ms later if no disruption is near, and a start over a second after that. A kind of histories in which workers only leave checks it now; a task that had to wait for room is excepted. Workers that have ended refuse connections, and their exit cuts off answers that are on their way, as in the sidecar.

--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -31,6 +31,7 @@
 		"calm":          {},
 		"late":          {maxDelay: 300 * time.Millisecond},
 		"workers":       {crash: 0.1, silent: 0.2, leave: 0.05, loseCall: 0.02, maxDelay: 20 * time.Millisecond},
+		"leaving":       {leave: 1},
 		"lost calls":    {silent: 0.3, loseCall: 0.2, maxDelay: 50 * time.Millisecond},
 		"agents":        {killAgent: 0.3, pauseAgent: 0.3, silent: 0.1, loseCall: 0.02, maxDelay: 20 * time.Millisecond},
 		"all agents":    {killAllAgents: 0.1, silent: 0.2, loseCall: 0.1, maxDelay: 20 * time.Millisecond},
@@ -62,15 +63,17 @@
 	}
 
 	// Seeds with which a restarted agent took a lease that its predecessor had granted for
-	// lapsed.
-	lapsed := map[string][]uint64{
+	// lapsed, and, with workers that leave, a task started again long after its success was
+	// listed.
+	listed := map[string][]uint64{
 		"all agents": {27, 89},
 		"power":      {50, 61, 97},
+		"leaving":    {218, 387},
 	}
 
 	for name, f := range histories() {
 		t.Run(name, func(t *testing.T) {
-			list := lapsed[name]
+			list := listed[name]
 			for seed := first; seed < first+count; seed++ {
 				list = append(list, seed)
 			}
@@ -115,9 +118,10 @@
 
 func newWorld(seed uint64, f faults) *world {
 	w := &world{
-		random:   rand.New(rand.NewPCG(seed, seed)),
-		faults:   f,
-		cutUntil: map[[2]string]time.Duration{},
+		random:      rand.New(rand.NewPCG(seed, seed)),
+		faults:      f,
+		cutUntil:    map[[2]string]time.Duration{},
+		onlyLeaving: f == faults{leave: f.leave},
 		store: store{
 			versions: map[string]int64{},
 			progress: map[string][]byte{},
@@ -126,6 +130,7 @@
 		doneAt:    map[job.TaskID]time.Duration{},
 		lastStart: map[job.TaskID]time.Duration{},
 		finished:  map[job.TaskID]bool{},
+		listedAt:  map[job.TaskID]time.Duration{},
 	}
 
 	for n := range minAgents + w.random.IntN(maxAgents-minAgents+1) {
--- a/core/fleet/world_agent_test.go
+++ b/core/fleet/world_agent_test.go
@@ -120,10 +120,10 @@
 
 	a.after(limit, func() { finish(platform.ErrUnanswered) })
 
-	life := a.life
+	life, served := a.life, k.life
 	answer := func(err error) {
 		if a.life == life {
-			a.after(w.delay(), func() { finish(err) })
+			a.after(w.delay(), func() { finish(k.cutOff(served, err)) })
 		}
 	}
 
@@ -131,7 +131,7 @@
 		switch {
 		case !k.alive && k.dark:
 		case !k.alive:
-			answer(platform.ErrRejected)
+			answer(errors.Join(platform.ErrRejected, platform.ErrConnectionRefused))
 		case k.id != id:
 			answer(platform.ErrRejected)
 		case w.now < k.silentUntil || w.chance(w.faults.loseCall):
@@ -144,6 +144,16 @@
 	})
 }
 
+// cutOff returns the error of a call that a life of the worker has served: its exit cuts the
+// answer off.
+func (k *worker) cutOff(served int, err error) error {
+	if !errors.Is(err, platform.ErrRejected) && (!k.alive || k.life != served) {
+		return platform.ErrUnanswered
+	}
+
+	return err
+}
+
 // leaveUnanswered carries out a call never, at once or late, but not in a later
 // incarnation.
 func (k *worker) leaveUnanswered(run func(*worker) error) {
@@ -309,6 +319,12 @@
 
 	answeredBefore := g.Answering
 
+	if errors.Is(err, platform.ErrConnectionRefused) {
+		if events := g.HandleRefused(); len(events) > 0 {
+			a.sendReport(events)
+		}
+	}
+
 	if events := g.HandleUnanswered(a.w.now); answeredBefore || len(events) > 0 {
 		a.sendReport(events)
 	}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -41,6 +41,10 @@
 	// lastStart when the task last started.
 	doneAt, lastStart map[job.TaskID]time.Duration
 	finished          map[job.TaskID]bool
+	// onlyLeaving says that the only faults are workers that leave. Then listedAt has when a
+	// success of a task was first listed.
+	onlyLeaving bool
+	listedAt    map[job.TaskID]time.Duration
 }
 
 // faults are the mean numbers of faults in a second, or probabilities.
@@ -56,6 +60,10 @@
 	maxDelay                         time.Duration
 }
 
+// maxRestartDelay is the time after the listing of a success in which its task may start
+// again, if nothing but the worker's exit kept the listing from its agent.
+const maxRestartDelay = 1100 * time.Millisecond
+
 type jobRow struct {
 	record  job.Record
 	version int64
@@ -388,6 +396,8 @@
 	barred  map[job.TaskID]int
 	ends    []workerEnd
 	lastEnd int64
+	// endedAt is when the last run ended.
+	endedAt time.Duration
 	// waiters has the listings that wait for an end.
 	waiters []func()
 }
@@ -530,6 +540,7 @@
 func (k *worker) endRun(t job.TaskID, reason gate.EndReason) {
 	r := k.runs[t]
 	delete(k.runs, t)
+	k.endedAt = k.w.now
 	k.lastEnd++
 	k.barred[t] = max(k.barred[t], r.attempt)
 	k.ends = append(k.ends, workerEnd{
@@ -640,6 +651,10 @@
 
 	for _, e := range k.ends {
 		l.Ended = append(l.Ended, e.End)
+
+		if _, listed := k.w.listedAt[e.Task]; !listed && e.Reason == gate.Done && k.w.onlyLeaving {
+			k.w.listedAt[e.Task] = k.w.now
+		}
 	}
 
 	return l
@@ -686,6 +701,11 @@
 		w.violate("%v attempt %d starts on %s after it was done at %v", o.Task, o.Attempt, k.id, at)
 	}
 
+	// Before this worker began or had its last end, there may have been no room.
+	if at, ok := w.listedAt[o.Task]; ok && w.now-max(at, k.bornAt, k.endedAt) > maxRestartDelay {
+		w.violate("%v attempt %d starts on %s long after its success was listed at %v", o.Task, o.Attempt, k.id, at)
+	}
+
 	w.lastStart[o.Task] = w.now
 }
 
