Store the progress of a task whose start was refused because of an earlier run

What a caller could see: a task that has ended as done starts again after a change of the leader.

"Count the end of an attempt that ran after later starts had no effect" takes the task back to its last attempt that may have run, but an attempt that did not run stored nothing. The next leader read the number of the refused start, passed over the end of the earlier attempt because of which it had been refused, and acknowledged it.

Now a refusal because of a run of the task (TaskPresent) is stored, with the number of that run, which the refusal comes with. Other refusals are frequent and name no run, so they still store nothing: an order of an earlier process that the agent finds later keeps this fault, unless it reports the run before its end.

TestEarlierAttemptDoneInNextTerm failed before: "assertion failed: Queued (next.jobs[jobA].state job.State) != Succeeded (job.Succeeded job.State)".

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -277,7 +277,11 @@
 		t.avoidNode = node
 		j.retryTimes = append(slices.DeleteFunc(j.retryTimes, func(r time.Duration) bool { return r <= now }), t.notBefore)
 
-		return
+		if e.Refusal != gate.TaskPresent {
+			return
+		}
+		// The next leader must not take the end of the run that is present for that of an
+		// attempt before this one.
 	default:
 	}
 
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -403,3 +403,56 @@
 	now += time.Second
 	assert.Equal(t, len(starts(f.Schedule(now, time.Time{}))), 0)
 }
+
+// TestEarlierAttemptDoneInNextTerm checks that the end of an earlier attempt counts with the next
+// leader too, if a start was refused because of it. The stored number was that of the refused start, so
+// that the end was passed over and the task started again.
+func TestEarlierAttemptDoneInNextTerm(t *testing.T) {
+	f := runningFleet(t)
+	stored := storeProgress(t, f, nil)
+	f.RecordEnd(0, "n1", end("n1", 1, jobA, 1, gate.Failed).End)
+
+	now := time.Second
+	assert.Equal(t, starts(f.Schedule(now, time.Time{}))["n1"][0].Attempt, 2)
+	f.RecordEnd(now, "n1", end("n1", 0, jobA, 2, gate.NotRun).End)
+
+	now += time.Second
+	assert.Equal(t, starts(f.Schedule(now, time.Time{}))["n1"][0].Attempt, 3)
+	stored = storeProgress(t, f, stored)
+
+	refused := end("n1", 0, jobA, 3, gate.NotRun)
+	refused.Refusal = gate.TaskPresent
+	f.Report(now, "n1", Report{
+		Ends: []gate.EndEvent{refused},
+		Runs: []gate.Run{{
+			Task:       job.TaskID{Job: jobA},
+			Attempt:    2,
+			OrderKnown: true,
+			Confirmed:  true,
+		}},
+	})
+	stored = storeProgress(t, f, stored)
+
+	next := New(2)
+	assert.NilError(t, next.Load(now, 0, record(jobA, step(1)), stored, false))
+
+	r := described("n1")
+	r.Ends = []gate.EndEvent{end("n1", 2, jobA, 2, gate.Done)}
+	next.Report(now, "n1", r)
+	assert.Equal(t, next.jobs[jobA].state, job.Succeeded)
+}
+
+// storeProgress returns the stored progress of jobA after a fleet's changes were stored.
+func storeProgress(t *testing.T, f *Fleet, stored []byte) []byte {
+	t.Helper()
+
+	b, err := f.Changes(1)
+	assert.NilError(t, err)
+	f.Committed(b)
+
+	if p := b.Progress[jobA]; p != nil {
+		return p
+	}
+
+	return stored
+}
