Extend the leases with a listing that is repeated

What a caller could see: all runs of a worker lapse while it answers.

Cause: a listing whose answer is 150 ms late is given up and repeated, and the repeat extended no lease. Where each answer takes longer than that, as beside an agent with little processor time, and a call that is given up has no effect, no lease was ever extended.

Now the repeat has the deadline of the call that it repeats, which counts as granted already, so that no lease ends later than before; not if the worker is another one by then.

--- a/core/fleet/world_agent_test.go
+++ b/core/fleet/world_agent_test.go
@@ -47,7 +47,7 @@
 // listRequest is what a listing was requested with.
 type listRequest struct {
 	sent           time.Duration
-	id             string
+	worker         gate.Incarnation
 	token, seen    int64
 	deadline, wait time.Duration
 }
@@ -249,7 +249,7 @@
 	g := a.gate
 	r := listRequest{
 		sent:     a.w.now,
-		id:       g.Worker.ID,
+		worker:   g.Worker.Incarnation,
 		token:    g.Token,
 		seen:     g.EndToAcknowledge(),
 		deadline: g.ExtendLease(a.w.now),
@@ -273,7 +273,7 @@
 func (a *agent) list(r listRequest, limit time.Duration, done func(listRequest, gate.Listing, error)) func() {
 	var l gate.Listing
 
-	return a.call(r.id, r.wait, limit, func(k *worker) error {
+	return a.call(r.worker.ID, r.wait, limit, func(k *worker) error {
 		if !k.obey(r.token, r.deadline) {
 			l.Clock = k.clock()
 
@@ -296,19 +296,23 @@
 	}
 
 	a.unansweredAt = a.w.now
-	r = listRequest{
-		sent:  a.w.now,
-		id:    a.gate.Worker.ID,
-		token: a.gate.Token,
+	repeat := listRequest{
+		sent:   a.w.now,
+		worker: a.gate.Worker.Incarnation,
+		token:  a.gate.Token,
+	}
+
+	if repeat.worker == r.worker {
+		repeat.deadline = r.deadline
 	}
 
 	a.pauseInside()
-	a.after(0, func() { a.list(r, listMargin, a.handleAnswer) })
+	a.after(0, func() { a.list(repeat, listMargin, a.handleAnswer) })
 }
 
 func (a *agent) handleAnswer(r listRequest, l gate.Listing, err error) {
 	if err != nil {
-		a.handleListError(r.id, r.token, l, err)
+		a.handleListError(r.worker.ID, r.token, l, err)
 		a.wait(&a.announced, silentPause, a.listLoop)
 
 		return
--- a/sidecar/lost_answer_test.go
+++ b/sidecar/lost_answer_test.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
@@ -108,3 +110,59 @@
 	s.gate.HandleUnanswered(now)
 	assert.Equal(t, s.listWait(now), time.Duration(0))
 }
+
+// TestSlowListings checks that leases are extended while each answer is later than the time
+// after which a listing is repeated: the first call, which is given up, may have no effect.
+func TestSlowListings(t *testing.T) {
+	t.Parallel()
+
+	const rounds = 3
+
+	var deadlines atomic.Int64
+
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var o struct {
+			Deadline int64 `json:"deadline_ms"`
+		}
+
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&o))
+
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(maxLossyWait + 2*repeatDelay):
+		}
+
+		if o.Deadline > 0 {
+			deadlines.Add(1)
+		}
+
+		_, err := w.Write([]byte(`{"clock_ms":1000,"born":5,"running":[],"finished":[]}`))
+		assert.Check(t, err)
+	}))
+	t.Cleanup(server.Close)
+
+	s := newTestSidecar(t, server)
+	s.handleAnnouncement(gate.Announcement{
+		Incarnation: gate.Incarnation{
+			ID:   "i-1",
+			Born: 5,
+		},
+		Sequence: 1,
+	})
+
+	for !s.gate.Synced {
+		s.listOnce(t.Context())
+	}
+
+	s.mu.Lock()
+	s.gate.Authorize(boottime.Now())
+	s.unansweredAt = boottime.Now()
+	s.mu.Unlock()
+
+	for range rounds {
+		s.listOnce(t.Context())
+	}
+
+	assert.Equal(t, deadlines.Load(), int64(rounds))
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -64,7 +64,7 @@
 type listRequest struct {
 	// sent is the local time of the request.
 	sent         time.Duration
-	id           string
+	worker       gate.Incarnation
 	token        int64
 	deadline     time.Duration
 	acknowledged int64
@@ -77,7 +77,7 @@
 
 	return listRequest{
 		sent:         now,
-		id:           s.gate.Worker.ID,
+		worker:       s.gate.Worker.Incarnation,
 		token:        s.gate.Token,
 		deadline:     s.gate.ExtendLease(now),
 		acknowledged: s.gate.EndToAcknowledge(),
@@ -86,7 +86,7 @@
 }
 
 func (s *Sidecar) list(ctx context.Context, r listRequest) (gate.Listing, error) {
-	l, err := s.worker.ExtendLeases(ctx, r.id, r.token, r.deadline, r.acknowledged, r.wait)
+	l, err := s.worker.ExtendLeases(ctx, r.worker.ID, r.token, r.deadline, r.acknowledged, r.wait)
 	s.meter.Count("listings_total", "answered", strconv.FormatBool(err == nil))
 
 	return l, err
@@ -121,13 +121,19 @@
 	s.mu.Lock()
 	now := boottime.Now()
 	s.unansweredAt = now
-	// It neither extends leases nor acknowledges ends: the worker may not answer it either.
-	r = listRequest{
-		sent:  now,
-		id:    s.gate.Worker.ID,
-		token: s.gate.Token,
+	// It acknowledges no ends, and grants no longer lease: the worker may not answer it either.
+	repeat := listRequest{
+		sent:   now,
+		worker: s.gate.Worker.Incarnation,
+		token:  s.gate.Token,
 	}
-	s.repeats.Log(s.log, zap.InfoLevel, "ListingRepeated", err.Error(), zap.String("Worker", r.id))
+
+	if repeat.worker == r.worker {
+		repeat.deadline = r.deadline
+	}
+
+	r = repeat
+	s.repeats.Log(s.log, zap.InfoLevel, "ListingRepeated", err.Error(), zap.String("Worker", r.worker.ID))
 	s.mu.Unlock()
 
 	l, err = s.list(ctx, r)
@@ -138,7 +144,7 @@
 // listOnce reads one listing, applies it, and sends the paces that follow from it.
 func (s *Sidecar) listOnce(ctx context.Context) {
 	r, l, err := s.readListing(ctx)
-	id, token := r.id, r.token
+	id, token := r.worker.ID, r.token
 
 	s.mu.Lock()
 	now := boottime.Now()
