--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -67,9 +67,9 @@
 	// lapsed, and, with workers that leave, a task started again long after its success was
 	// listed.
 	listed := map[string][]uint64{
-		"all agents": {153, 265, 760},
-		"power":      {184, 252, 255, 271},
-		"leaving":    {1422, 2647},
+		"all agents": {76, 265, 465},
+		"power":      {184, 201, 252, 305},
+		"leaving":    {1629, 2507},
 	}
 
 	for name, f := range histories() {
