--- a/internal/jsonlog/repeats_test.go
+++ b/internal/jsonlog/repeats_test.go
@@ -21,7 +21,7 @@
 			r Repeats
 		)
 
-		log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "Event"}), zapcore.AddSync(&b), zap.InfoLevel))
+		log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{MessageKey: "Event"}), zapcore.Lock(zapcore.AddSync(&b)), zap.InfoLevel))
 
 		for range 500 {
 			r.Log(log, zap.InfoLevel, "StartRefused", "NoRoom", zap.Int("Attempt", 1))
