--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -20,6 +20,8 @@
 // cases returns whether the rule was broken.
 var cases = map[string]func(rec *recorder, d *deployment, trouble bool) bool{
 	"lasting": runLasting,
+	"large":   runLarge,
+	"saved":   runSaved,
 }
 
 func main() {
--- a/review/_harness/worker.go
+++ b/review/_harness/worker.go
@@ -54,6 +54,8 @@
 	lastEnd int64
 	starts  int
 	changed chan struct{}
+	// doneTasks has the tasks of which a run has ended done.
+	doneTasks map[string]bool
 }
 
 type workerRun struct {
@@ -83,7 +85,7 @@
 	w := &worker{
 		rec: rec, id: id, address: l.Addr().String(), plan: plan,
 		born: time.Now().UnixMilli(), began: time.Now(),
-		runs: map[string]*workerRun{}, over: map[string]int{}, changed: make(chan struct{}),
+		runs: map[string]*workerRun{}, over: map[string]int{}, changed: make(chan struct{}), doneTasks: map[string]bool{},
 	}
 
 	go func() { _ = http.Serve(l, w) }()
@@ -166,6 +168,10 @@
 	w.over[r.task] = max(w.over[r.task], r.attempt)
 	w.lastEnd++
 	w.ends = append(w.ends, workerEnd{n: w.lastEnd, task: r.task, attempt: r.attempt, how: how, saved: r.saved})
+	if how == "done" {
+		w.doneTasks[r.task] = true
+	}
+
 	w.rec.log("%s: %s attempt %d ended %s", w.id, r.task, r.attempt, how)
 	close(w.changed)
 	w.changed = make(chan struct{})
