--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -22,6 +22,8 @@
 	"lasting": runLasting,
 	"large":   runLarge,
 	"saved":   runSaved,
+	"probe":   runProbe,
+	"long":    runLong,
 }
 
 func main() {
