--- a/review/_harness/platform.go
+++ b/review/_harness/platform.go
@@ -60,7 +60,7 @@
 }
 
 func cannotRun(format string, args ...any) {
-	fmt.Fprintf(os.Stderr, "the case can't run: "+format+"\n", args...)
+	fmt.Printf("the case can't run: "+format+"\n", args...)
 	os.Exit(2)
 }
 
@@ -86,8 +86,11 @@
 	refused   int
 }
 
+// ip is the loopback address of this case: the ports that other cases use beside it don't collide.
+var ip = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, 1+os.Getpid()/128%250)
+
 func freePort() int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		cannotRun("no free port: %v", err)
 	}
@@ -132,7 +135,7 @@
 // serveStore serves the project's stand-in of the store. It refuses a transaction over the
 // limits that the pages set: a value of row_bytes, and 1 MB a call.
 func (d *deployment) serveStore() {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		cannotRun("store: %v", err)
 	}
@@ -199,8 +202,8 @@
 func (d *deployment) newProcess(role, name string, memoryMB int, node, sections string) *process {
 	p := &process{role: role, name: name, settings: filepath.Join(d.dir, name+".ini")}
 	// The form of deploy/node.ini.
-	text := fmt.Sprintf("[Node]\nName = %s\nDataCentre = lannion\nIP = 127.0.0.1\n%sPeerPort = %d\nMemoryMB = %d\n\n[Store]\nAddress = %s\n\n%s[Bounds]\nDrainGrace = 6s\n",
-		name, node, freePort(), memoryMB, d.storeAddr, sections)
+	text := fmt.Sprintf("[Node]\nName = %s\nDataCentre = lannion\nIP = %s\n%sPeerPort = %d\nMemoryMB = %d\n\n[Store]\nAddress = %s\n\n%s[Bounds]\nDrainGrace = 6s\n",
+		name, ip, node, freePort(), memoryMB, d.storeAddr, sections)
 
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		cannotRun("settings: %v", err)
@@ -210,9 +213,9 @@
 }
 
 func (d *deployment) addEntry() {
-	caller := fmt.Sprintf("127.0.0.1:%d", freePort())
+	caller := fmt.Sprintf("%s:%d", ip, freePort())
 	p := d.newProcess("entry", fmt.Sprintf("front-%d", len(d.entries)+1), memoryEntryMB,
-		fmt.Sprintf("CallerAddress = %s\nReadyAddress = 127.0.0.1:%d\nProcessorShare = 0.16\n", caller, freePort()), "")
+		fmt.Sprintf("CallerAddress = %s\nReadyAddress = %s:%d\nProcessorShare = 0.16\n", caller, ip, freePort()), "")
 	p.callerAddress = caller
 	d.entries = append(d.entries, p)
 }
@@ -221,7 +224,7 @@
 func (d *deployment) addWorker(plan planner) {
 	n := len(d.workers) + 1
 	w := newWorker(d.rec, fmt.Sprintf("i-%d", n), plan)
-	control := fmt.Sprintf("127.0.0.1:%d", freePort())
+	control := fmt.Sprintf("%s:%d", ip, freePort())
 	p := d.newProcess("agent", fmt.Sprintf("side-%d", n), memoryAgentMB, "AnnouncementAddress = "+control+"\nProcessorShare = 0.24\n",
 		"[Worker]\nAddress = "+w.address+"\nService = "+service+"\n\n")
 	d.agents = append(d.agents, p)
--- a/review/_harness/worker.go
+++ b/review/_harness/worker.go
@@ -77,7 +77,7 @@
 }
 
 func newWorker(rec *recorder, id string, plan planner) *worker {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		cannotRun("worker: %v", err)
 	}
