--- a/review/_harness/saved.go
+++ b/review/_harness/saved.go
@@ -68,11 +68,13 @@
 
 	for began := time.Now(); time.Since(began) < 60*time.Second; time.Sleep(100 * time.Millisecond) {
 		if n := len(ids); n < 5 && time.Since(began) > time.Duration(6*n)*time.Second {
+			// A job that isn't accepted is owed nothing.
 			id := fmt.Sprintf("%016x", 0xc000+n)
-			submit(id, ordinary)
-
 			ids = append(ids, id)
-			watched[id] = &idleWatch{since: time.Now()}
+
+			if c.submit(id, ordinary) {
+				watched[id] = &idleWatch{since: time.Now()}
+			}
 		}
 
 		for id, w := range watched {
@@ -102,6 +104,12 @@
 	broken := false
 
 	for _, id := range ids {
+		if watched[id] == nil {
+			rec.say("job %s: not accepted", id)
+
+			continue
+		}
+
 		idle := watched[id].worst
 		s := c.state(id)
 		rec.say("job %s: state %q, nothing running for up to %s", id, s, idle.Round(100*time.Millisecond))
