--- a/review/_harness/platform.go
+++ b/review/_harness/platform.go
@@ -124,14 +124,25 @@
 // ip is the loopback address of this case: the ports that other cases use beside it don't collide.
 var ip = fmt.Sprintf("127.%d.%d.1", 64+os.Getpid()%128, 1+os.Getpid()/128%250)
 
+// lastPort is the last port that was given out. The ports lie below those that the system gives
+// to other sockets.
+var lastPort = 20000
+
 func freePort() int {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		cannotRun("no free port: %v", err)
+	for lastPort < 30000 {
+		lastPort++
+
+		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, lastPort))
+		if err == nil {
+			l.Close()
+
+			return lastPort
+		}
 	}
-	defer l.Close()
 
-	return l.Addr().(*net.TCPAddr).Port
+	cannotRun("no free port")
+
+	return 0
 }
 
 func newDeployment(rec *recorder, queues []map[string]any) *deployment {
