--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/harness ./review/_harness
+go build -o target/review/harness ./review/_harness/standin
