Tell from the runs whether a worker's probe runs

Cause: after a quarantine a worker gets one task, the probe, and nothing else while a flag is set. Only the end of the probe reset it, and RecordEnd returns before that if the job is over: cancelled, or failed by another task. The same flag stayed set if the probe was a member of a gang that another member's end finished, or was given up as lost.

Why it works: a worker is being probed while the probe is among its runs and has not stalled. There is no state to reset, as each way out of a run removes it there. The end of a run also counts for the worker's health if its job is over, so that a sound worker needs no second probe.

--- a/core/fleet/health.go
+++ b/core/fleet/health.go
@@ -24,9 +24,8 @@
 	lastFailedJob string
 	severalJobs   bool
 	quarantine    time.Duration
-	// probe is the task that probes the worker after a quarantine.
-	probe   job.TaskID
-	probing bool
+	// probe is the task that last probed the worker after a quarantine.
+	probe job.TaskID
 }
 
 // Quarantine is the decision to start no tasks on a worker for some time.
@@ -45,10 +44,6 @@
 
 	h := &w.health
 
-	if h.probing && h.probe == e.Task {
-		h.probing = false
-	}
-
 	switch e.Reason {
 	case gate.Done:
 		*h = health{}
@@ -87,13 +82,23 @@
 		return false
 	}
 
-	return now < w.quarantinedUntil || w.health.probing || s.LongRunning
+	return now < w.quarantinedUntil || w.probing() || s.LongRunning
 }
 
-// markProbe makes a task the probe of a worker whose quarantine is over.
+// probing reports whether the probe of the worker runs and has not stalled. However it ends, the
+// worker may get another one.
+func (w *workerInfo) probing() bool {
+	r := w.runs[w.health.probe]
+
+	return r != nil && r.probes && !r.stalled
+}
+
+// markProbe makes a run the probe of a worker whose quarantine is over.
 func (w *workerInfo) markProbe(id job.TaskID) {
-	if w.health.quarantine > 0 && !w.health.probing {
-		w.health.probing = true
-		w.health.probe = id
+	if w.health.quarantine == 0 || w.probing() {
+		return
 	}
+
+	w.health.probe = id
+	w.runs[id].probes = true
 }
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -285,12 +285,12 @@
 		j.started = true
 	}
 
+	f.updateHealth(now, node, e)
+
 	if j.state.Final() {
 		return
 	}
 
-	f.updateHealth(now, node, e)
-
 	switch e.Reason {
 	case gate.Done:
 		f.taskDone(j, s, t)
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -65,6 +65,8 @@
 	stopOrdered bool
 	// stalled means that the run makes no progress although its pace allows it.
 	stalled bool
+	// probes means that the run probes its worker after a quarantine.
+	probes bool
 }
 
 func (w *workerInfo) addRun(now time.Duration, id job.TaskID, attempt int, s *job.Step) {
