Send orders in messages that fit into a frame

Cause: the leader sent all starts of a pass for one worker in one frame, each with its job's text. The agent ends the session at a frame above 1 MB. The leader dialled again and sent the same.

Send refuses a frame above the limit in place of the receiver, so that nothing else in the session is held up.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -599,8 +599,13 @@
 				zap.Int("Attempt", s.Attempt), zap.String("Node", node))
 		}
 
-		if n := l.nodes[node]; n != nil {
-			n.send(&peerpb.Frame{Body: &peerpb.Frame_Orders{Orders: peer.EncodeOrders(o)}})
+		n := l.nodes[node]
+		if n == nil {
+			continue
+		}
+
+		for _, m := range peer.EncodeOrders(o) {
+			n.send(&peerpb.Frame{Body: &peerpb.Frame_Orders{Orders: m}})
 		}
 	}
 }
--- a/integration/hosted_deployment_test.go
+++ b/integration/hosted_deployment_test.go
@@ -432,11 +432,18 @@
 // submit submits a job to the entries in turn until it is accepted, and returns its
 // ID.
 func (h *hosted) submit(steps ...job.Step) string {
+	return h.submitSpec(func(id string) job.Spec {
+		return job.Spec{
+			Text:  "text of " + id,
+			Steps: steps,
+		}
+	})
+}
+
+// submitSpec submits the job that newSpec returns for an ID, as submit does.
+func (h *hosted) submitSpec(newSpec func(id string) job.Spec) string {
 	id := fmt.Sprintf("%016x", h.random.Uint64())
-	spec := job.Spec{
-		Text:  "text of " + id,
-		Steps: steps,
-	}
+	spec := newSpec(id)
 	h.checker.RecordSubmission(id, spec)
 
 	h.mu.Lock()
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"trefoildeck/core/fleet"
 	"trefoildeck/core/gate"
@@ -126,102 +125,6 @@
 	return r, nil
 }
 
-// EncodeOrders encodes the leader's orders to a worker's sidecar.
-func EncodeOrders(o *fleet.Orders) *peerpb.Orders {
-	m := &peerpb.Orders{
-		WorkerID: o.Incarnation.ID,
-		Born:     o.Incarnation.Born,
-		Starts:   encodeStarts(o.Starts),
-		Adopted:  encodeStarts(o.Adopted),
-	}
-
-	for _, s := range o.Stops {
-		m.Stops = append(m.Stops, &peerpb.StopOrder{
-			Task:    s.Task.String(),
-			Attempt: int64(s.Attempt),
-		})
-	}
-
-	return m
-}
-
-func encodeStarts(orders []gate.StartOrder) []*peerpb.StartOrder {
-	var list []*peerpb.StartOrder
-
-	for _, o := range orders {
-		list = append(list, &peerpb.StartOrder{
-			Task:       o.Task.String(),
-			Attempt:    int64(o.Attempt),
-			Text:       o.Text,
-			Checkpoint: o.Checkpoint,
-			Size:       encodeSize(o.Size),
-			Fills:      o.Fills,
-			TargetMS:   o.Target.Milliseconds(),
-			Image:      o.Image,
-		})
-	}
-
-	return list
-}
-
-// DecodeOrders decodes the leader's orders to a worker's sidecar.
-func DecodeOrders(m *peerpb.Orders) (fleet.Orders, error) {
-	o := fleet.Orders{
-		Incarnation: gate.Incarnation{
-			ID:   m.GetWorkerID(),
-			Born: m.GetBorn(),
-		},
-	}
-
-	var err error
-
-	if o.Starts, err = decodeStarts(m.GetStarts()); err != nil {
-		return fleet.Orders{}, err
-	}
-
-	if o.Adopted, err = decodeStarts(m.GetAdopted()); err != nil {
-		return fleet.Orders{}, err
-	}
-
-	for _, s := range m.GetStops() {
-		id, err := job.ParseTaskID(s.GetTask())
-		if err != nil {
-			return fleet.Orders{}, fmt.Errorf("decode stop: %w", err)
-		}
-
-		o.Stops = append(o.Stops, fleet.Stop{
-			Task:    id,
-			Attempt: int(s.GetAttempt()),
-		})
-	}
-
-	return o, nil
-}
-
-func decodeStarts(list []*peerpb.StartOrder) ([]gate.StartOrder, error) {
-	var orders []gate.StartOrder
-
-	for _, s := range list {
-		id, err := job.ParseTaskID(s.GetTask())
-		if err != nil {
-			return nil, fmt.Errorf("decode start: %w", err)
-		}
-
-		orders = append(orders, gate.StartOrder{
-			Task:       id,
-			Attempt:    int(s.GetAttempt()),
-			Text:       s.GetText(),
-			Checkpoint: s.GetCheckpoint(),
-			Size:       decodeSize(s.GetSize()),
-			Fills:      s.GetFills(),
-			Target:     time.Duration(s.GetTargetMS()) * time.Millisecond,
-			Image:      s.GetImage(),
-		})
-	}
-
-	return orders, nil
-}
-
 func encodeSize(s job.Size) *peerpb.TaskSize {
 	return &peerpb.TaskSize{
 		MilliCores:   s.MilliCores,
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -89,6 +89,45 @@
 	}
 }
 
+// TestFrameTooLarge checks that a frame that the peer would refuse is not sent, and that the
+// session goes on: it ended, with all that was under way.
+func TestFrameTooLarge(t *testing.T) {
+	received := make(chan *peerpb.Frame, 1)
+	opened := make(chan *peer.Session, 1)
+	failed := make(chan error, 1)
+	address := serve(t, &peer.Server{
+		OnOpen:  func(*peer.Session) error { return nil },
+		OnFrame: func(_ *peer.Session, f *peerpb.Frame) { received <- f },
+		OnClose: func(*peer.Session) {},
+		OnError: func(_ string, err error) { failed <- err },
+	})
+	link := &peer.Link{
+		Address: address,
+		Hello:   func() *peerpb.Hello { return &peerpb.Hello{Name: "a", Role: peer.RoleAgent} },
+		OnOpen:  func(s *peer.Session) { opened <- s },
+		OnFrame: func(*peer.Session, *peerpb.Frame) {},
+		OnClose: func(*peer.Session) {},
+		OnError: func(err error) { failed <- err },
+	}
+
+	go link.Run(t.Context())
+
+	s := <-opened
+	row := func(size int) *peerpb.Frame {
+		return &peerpb.Frame{Body: &peerpb.Frame_Written{Written: &peerpb.StoreRow{Value: make([]byte, size)}}}
+	}
+
+	assert.ErrorIs(t, s.Send(row(peer.MaxFrame)), peer.ErrFrameTooLarge)
+	assert.NilError(t, s.Send(row(1)))
+
+	select {
+	case f := <-received:
+		assert.Equal(t, len(f.GetWritten().GetValue()), 1)
+	case err := <-failed:
+		t.Fatalf("the session ended: %v", err)
+	}
+}
+
 // TestCall sends bodies of several sizes to a peer that echoes them, and checks
 // that they return complete and in order.
 func TestCall(t *testing.T) {
--- a/io/peer/session.go
+++ b/io/peer/session.go
@@ -14,12 +14,16 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 )
 
 // ErrQueueFull says that the send queue is full because the peer reads too slowly.
 // The session ends.
 var ErrQueueFull = eris.New("the peer reads too slowly")
 
+// ErrFrameTooLarge says that a frame was not sent since the peer would end the session at it.
+var ErrFrameTooLarge = eris.New("the frame is too large")
+
 // Session is a session with a peer, on either side of the connection.
 type Session struct {
 	// Hello is the first message of the side that dialled.
@@ -61,8 +65,13 @@
 }
 
 // Send queues a frame. It never blocks: if the queue is full, the session ends and
-// the error is ErrQueueFull.
+// the error is ErrQueueFull. A frame above MaxFrame is not sent, and the error is
+// ErrFrameTooLarge.
 func (s *Session) Send(f *peerpb.Frame) error {
+	if n := proto.Size(f); n > MaxFrame {
+		return fmt.Errorf("send frame of %d bytes, at most %d: %w", n, MaxFrame, ErrFrameTooLarge)
+	}
+
 	select {
 	case <-s.closed:
 		return fmt.Errorf("send frame: %w", net.ErrClosed)
