Send reports, estimates and relayed pages in messages that fit into a frame

A frame above 1 MB ends the session, and the next one sends the same.

- A sidecar's report of 10,000 runs with checkpoints of 100 bytes took 1.3 MB.
It takes several messages now, which the leader joins: a refused start and the run because of which it was refused must not be seen apart.
- 30,000 pairs of images took 2.0 MB of estimates.
Each message now stands by itself.
- A relayed feed or read answered with all rows of the store's answer, 3.9 MB for 60 rows of 65,000 bytes, and ended the session with the peer in each try.
A page is now cut; a feed only between two versions, since the reader goes on after a version.
- The conflict of a relayed transaction brought the values of all expected rows, 2.9 MB for a full batch.
Only their versions are used, and sent.

--- a/coordinator/malformed_test.go
+++ b/coordinator/malformed_test.go
@@ -75,7 +75,7 @@
 				Reason:  gate.Done,
 			},
 			Incarnation: incarnation,
-		}})}},
+		}})[0]}},
 		{Body: &peerpb.Frame_WorkerReport{WorkerReport: &peerpb.WorkerReport{
 			Full:     true,
 			WorkerID: "i-1",
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -20,7 +20,9 @@
 	// the time opened.
 	session *peer.Session
 	opened  time.Duration
-	log     *zap.Logger
+	// report joins the messages of a report in the current session.
+	report peer.ReportJoiner
+	log    *zap.Logger
 }
 
 func (n *nodeLink) send(f *peerpb.Frame) {
@@ -135,10 +137,13 @@
 
 			n.session = s
 			n.opened = l.c.now()
+			n.report = peer.ReportJoiner{}
 			l.c.log.Info("NodeConnected", zap.String("Node", n.node.Name), zap.Int64("Term", l.term))
 
-			if estimates := l.fleet.Interference.All(); n.node.Role == peer.RoleAgent && len(estimates) > 0 {
-				n.send(&peerpb.Frame{Body: &peerpb.Frame_Estimates{Estimates: peer.EncodeEstimates(estimates)}})
+			if n.node.Role == peer.RoleAgent {
+				for _, m := range peer.EncodeEstimates(l.fleet.Interference.All()) {
+					n.send(&peerpb.Frame{Body: &peerpb.Frame_Estimates{Estimates: m}})
+				}
 			}
 		},
 		OnFrame: func(s *peer.Session, f *peerpb.Frame) { l.handleFrame(n, s, f) },
@@ -181,7 +186,12 @@
 			n.send(&peerpb.Frame{Body: &peerpb.Frame_Pong{Pong: &peerpb.Pong{Number: b.Ping.GetNumber()}}})
 		}
 	case *peerpb.Frame_WorkerReport:
-		r, err := peer.DecodeReport(n.node.DataCentre, b.WorkerReport)
+		report := n.report.Add(b.WorkerReport)
+		if report == nil {
+			return
+		}
+
+		r, err := peer.DecodeReport(n.node.DataCentre, report)
 		if err != nil {
 			l.c.log.Error("ReportUnreadable", zap.String("Node", n.node.Name), jsonlog.Error(err))
 
@@ -227,8 +237,8 @@
 func (l *leader) broadcastEstimates(ctx context.Context) error {
 	for sleep(ctx, estimatesPeriod); ctx.Err() == nil; sleep(ctx, estimatesPeriod) {
 		l.mu.Lock()
-		if estimates := l.fleet.Interference.Changes(); len(estimates) > 0 {
-			f := &peerpb.Frame{Body: &peerpb.Frame_Estimates{Estimates: peer.EncodeEstimates(estimates)}}
+		for _, m := range peer.EncodeEstimates(l.fleet.Interference.Changes()) {
+			f := &peerpb.Frame{Body: &peerpb.Frame_Estimates{Estimates: m}}
 
 			for _, n := range l.nodes {
 				if n.node.Role == peer.RoleAgent {
--- a/core/fleet/world_agent_test.go
+++ b/core/fleet/world_agent_test.go
@@ -9,6 +9,7 @@
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
 	"trefoildeck/io/peer"
+	"trefoildeck/io/peer/peerpb"
 	"trefoildeck/platform"
 )
 
@@ -536,7 +537,16 @@
 	slices.SortFunc(runs, func(x, y peer.TaskRun) int { return compareTasks(x.Task, y.Task) })
 	slices.SortFunc(ends, func(x, y gate.EndEvent) int { return compareTasks(x.Task, y.Task) })
 
-	r, err := peer.DecodeReport("dc1", peer.EncodeReport(full, a.gate, runs, ends))
+	var (
+		joiner peer.ReportJoiner
+		report *peerpb.WorkerReport
+	)
+
+	for _, m := range peer.EncodeReport(full, a.gate, runs, ends) {
+		report = joiner.Add(m)
+	}
+
+	r, err := peer.DecodeReport("dc1", report)
 	if err != nil {
 		panic(err)
 	}
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -8,27 +8,37 @@
 	"trefoildeck/core/interference"
 	"trefoildeck/core/job"
 	"trefoildeck/io/peer/peerpb"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // EncodeReport encodes the state of a worker's gate, with the given runs and ends,
-// which may be nil. full says that they are all runs and all unrecorded ends.
-func EncodeReport(full bool, g *gate.Gate, runs []TaskRun, events []gate.EndEvent) *peerpb.WorkerReport {
-	m := &peerpb.WorkerReport{
-		Full:        full,
-		Described:   g.Announced,
-		Known:       g.Announced,
-		WorkerID:    g.Worker.ID,
-		Born:        g.Worker.Born,
-		Ready:       g.Ready(),
-		Draining:    g.Worker.Draining,
-		RemainingMS: g.Worker.Remaining.Milliseconds(),
-		Service:     g.Worker.Service,
-		Capacity:    encodeSize(g.Worker.Capacity),
-		Labels:      g.Worker.Labels,
+// which may be nil, as several messages if they don't fit into one. full says that they
+// are all runs and all unrecorded ends.
+func EncodeReport(full bool, g *gate.Gate, runs []TaskRun, events []gate.EndEvent) []*peerpb.WorkerReport {
+	p := reportPacker{
+		full: full,
+		gate: g,
+	}
+	p.add()
+
+	for _, e := range events {
+		end := &peerpb.EndReport{
+			Number:     e.Number,
+			Task:       e.Task.String(),
+			Attempt:    int64(e.Attempt),
+			How:        string(e.Reason),
+			Checkpoint: e.Checkpoint,
+			WorkerID:   e.Incarnation.ID,
+			Born:       e.Incarnation.Born,
+			Reason:     string(e.Refusal),
+		}
+		m := p.message(itemSize(proto.Size(end)))
+		m.Ends = append(m.Ends, end)
 	}
 
 	for _, r := range runs {
-		m.Runs = append(m.Runs, &peerpb.RunReport{
+		run := &peerpb.RunReport{
 			Task:       r.Task.String(),
 			Attempt:    int64(r.State.Attempt),
 			Checkpoint: r.State.Run.Checkpoint,
@@ -38,20 +48,73 @@
 			Pace:       int64(r.State.PacePercent),
 			Stalled:    r.Stalled,
 			OrderKnown: r.State.OrderKnown,
-		})
+		}
+		m := p.message(itemSize(proto.Size(run)))
+		m.Runs = append(m.Runs, run)
 	}
 
-	for _, e := range events {
-		m.Ends = append(m.Ends, &peerpb.EndReport{
-			Number:     e.Number,
-			Task:       e.Task.String(),
-			Attempt:    int64(e.Attempt),
-			How:        string(e.Reason),
-			Checkpoint: e.Checkpoint,
-			WorkerID:   e.Incarnation.ID,
-			Born:       e.Incarnation.Born,
-			Reason:     string(e.Refusal),
-		})
+	return p.messages
+}
+
+// reportPacker packs the runs and ends of a report into messages of at most maxPackedBytes, and
+// the description of the worker into each of them.
+type reportPacker struct {
+	full     bool
+	gate     *gate.Gate
+	messages []*peerpb.WorkerReport
+	// size is the size of the items in the last message.
+	size int
+}
+
+func (p *reportPacker) add() {
+	g := p.gate
+	p.size = 0
+	p.messages = append(p.messages, &peerpb.WorkerReport{
+		Full:        p.full,
+		Described:   g.Announced,
+		Known:       g.Announced,
+		WorkerID:    g.Worker.ID,
+		Born:        g.Worker.Born,
+		Ready:       g.Ready(),
+		Draining:    g.Worker.Draining,
+		RemainingMS: g.Worker.Remaining.Milliseconds(),
+		Service:     g.Worker.Service,
+		Capacity:    encodeSize(g.Worker.Capacity),
+		Labels:      g.Worker.Labels,
+	})
+}
+
+// message returns the message for an item of a size, in bytes: the last one, or a new one if that
+// is full.
+func (p *reportPacker) message(size int) *peerpb.WorkerReport {
+	if p.size > 0 && p.size+size > maxPackedBytes {
+		p.messages[len(p.messages)-1].More = true
+		p.add()
+	}
+
+	p.size += size
+
+	return p.messages[len(p.messages)-1]
+}
+
+// ReportJoiner joins the messages of a report. What a report says holds only as a whole: a refused
+// start and the run because of which it was refused may be in two messages.
+type ReportJoiner struct {
+	before *peerpb.WorkerReport
+}
+
+// Add adds a message. It returns the report once it is complete, otherwise nil.
+func (j *ReportJoiner) Add(m *peerpb.WorkerReport) *peerpb.WorkerReport {
+	if j.before != nil {
+		m.Ends = append(j.before.GetEnds(), m.GetEnds()...)
+		m.Runs = append(j.before.GetRuns(), m.GetRuns()...)
+		j.before = nil
+	}
+
+	if m.GetMore() {
+		j.before = m
+
+		return nil
 	}
 
 	return m
@@ -141,20 +204,34 @@
 	}
 }
 
-// EncodeEstimates encodes interference estimates of pairs of images.
-func EncodeEstimates(estimates map[interference.Pair]interference.Estimate) *peerpb.Estimates {
-	m := &peerpb.Estimates{}
+// EncodeEstimates encodes interference estimates of pairs of images, as several messages if they
+// don't fit into one.
+func EncodeEstimates(estimates map[interference.Pair]interference.Estimate) []*peerpb.Estimates {
+	var (
+		messages []*peerpb.Estimates
+		size     int
+	)
 
 	for p, e := range estimates {
-		m.List = append(m.List, &peerpb.Estimate{
+		estimate := &peerpb.Estimate{
 			Filling: p.Filling,
 			Serving: p.Serving,
 			Factor:  float32(e.Factor),
 			Weight:  float32(e.Weight),
-		})
+		}
+		n := itemSize(proto.Size(estimate))
+
+		if size == 0 || size+n > maxPackedBytes {
+			messages = append(messages, &peerpb.Estimates{})
+			size = 0
+		}
+
+		size += n
+		m := messages[len(messages)-1]
+		m.List = append(m.List, estimate)
 	}
 
-	return m
+	return messages
 }
 
 // DecodeEstimates decodes interference estimates of pairs of images.
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"trefoildeck/io/peer/peerpb"
@@ -51,9 +52,11 @@
 	case m.GetRange() != nil:
 		r := m.GetRange()
 		p, err = s.Range(ctx, r.GetTable(), r.GetPart(), r.GetFrom(), r.GetTo())
+		p = trimRange(p)
 	case m.GetFeed() != nil:
 		f := m.GetFeed()
 		p, err = s.Feed(ctx, f.GetTable(), f.GetAfter(), time.Duration(f.GetWaitMS())*time.Millisecond)
+		p = trimFeed(p)
 	default:
 		err = rows.ErrRefused
 	}
@@ -61,6 +64,59 @@
 	return encodeStoreAnswer(m.GetNumber(), p, err)
 }
 
+// maxAnswerBytes is the size, in bytes, up to which rows are packed into an answer. The rows of one
+// transaction, to which the store sets a limit, fit.
+const maxAnswerBytes = MaxFrame - 64<<10
+
+// rowOverhead is more than the size, in bytes, of a row in an answer beside its texts and value.
+const rowOverhead = 64
+
+// countFitting returns how many of the first rows fit into one answer, at least one if there is any.
+func countFitting(list []rows.Row) int {
+	size := 0
+
+	for i, r := range list {
+		size += len(r.Table) + len(r.Part) + len(r.Key) + len(r.Value) + rowOverhead
+		if i > 0 && size > maxAnswerBytes {
+			return i
+		}
+	}
+
+	return len(list)
+}
+
+// trimRange drops the last rows of a page of a range that don't fit into one answer. The reader
+// goes on after the last row that it gets.
+func trimRange(p rows.Page) rows.Page {
+	if n := countFitting(p.Rows); n < len(p.Rows) {
+		p.Rows, p.More = p.Rows[:n], true
+	}
+
+	return p
+}
+
+// trimFeed drops the last changes of a page of a feed that don't fit into one answer. The reader
+// goes on after the version of the page, so that the changes of a transaction, which have one
+// version, stay together.
+func trimFeed(p rows.Page) rows.Page {
+	n := countFitting(p.Rows)
+	if n == len(p.Rows) {
+		return p
+	}
+
+	last := p.Rows[n-1].Version
+	if first := p.Rows[0].Version; last == p.Rows[n].Version && last != first {
+		n = slices.IndexFunc(p.Rows, func(r rows.Row) bool { return r.Version == last })
+		last = p.Rows[n-1].Version
+	}
+
+	if n = slices.IndexFunc(p.Rows, func(r rows.Row) bool { return r.Version > last }); n > 0 {
+		p.Rows, p.Version = p.Rows[:n], last
+	}
+
+	return p
+}
+
 func encodeStoreAnswer(number uint64, p rows.Page, err error) *peerpb.StoreAnswer {
 	m := &peerpb.StoreAnswer{
 		Number:  number,
@@ -76,7 +132,12 @@
 	case err == nil:
 	case errors.As(err, &conflict):
 		m.Outcome = outcomeConflict
-		m.Rows = encodeRows(conflict.Rows)
+
+		for _, r := range encodeRows(conflict.Rows) {
+			// The values may exceed a frame, and the versions say what the conflict is.
+			r.Value = nil
+			m.Rows = append(m.Rows, r)
+		}
 	case errors.Is(err, rows.ErrConflict):
 		m.Outcome = outcomeConflictOnly
 	case errors.Is(err, rows.ErrUnknown):
--- a/io/rows/rows.go
+++ b/io/rows/rows.go
@@ -40,7 +40,8 @@
 // Conflict is the error of a transaction of which a row did not have the expected
 // version.
 type Conflict struct {
-	// Rows has the current state of those expected rows that exist.
+	// Rows has the current versions of those expected rows that exist, maybe without the
+	// values.
 	Rows []Row
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -276,18 +276,24 @@
 	}
 
 	// The worker lists further ends only once the leader has recorded these.
-	s.send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{
-		WorkerReport: peer.EncodeReport(s.gate.Synced, s.gate, runs, events),
-	}})
+	s.sendRuns(s.gate.Synced, runs, events)
 	// The leader answers no ping before it has the report.
 	s.ping()
 }
 
 // sendReport reports the worker's state and the given ends.
-func (s *Sidecar) sendReport(events []gate.EndEvent) {
-	s.send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{
-		WorkerReport: peer.EncodeReport(false, s.gate, nil, events),
-	}})
+func (s *Sidecar) sendReport(events []gate.EndEvent) { s.sendRuns(false, nil, events) }
+
+// sendRuns reports the worker's state and the given runs and ends. full says that they are all
+// runs and all unrecorded ends.
+func (s *Sidecar) sendRuns(full bool, runs []peer.TaskRun, events []gate.EndEvent) {
+	if s.leader.Session == nil {
+		return
+	}
+
+	for _, m := range peer.EncodeReport(full, s.gate, runs, events) {
+		s.send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{WorkerReport: m}})
+	}
 }
 
 func (s *Sidecar) send(f *peerpb.Frame) {
@@ -364,13 +370,11 @@
 	}
 
 	if len(runs) > 0 {
-		s.send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{
-			WorkerReport: peer.EncodeReport(false, s.gate, runs, nil),
-		}})
+		s.sendRuns(false, runs, nil)
 	}
 
-	if estimates := s.learner.Changed(); len(estimates) > 0 {
-		s.send(&peerpb.Frame{Body: &peerpb.Frame_Estimates{Estimates: peer.EncodeEstimates(estimates)}})
+	for _, m := range peer.EncodeEstimates(s.learner.Changed()) {
+		s.send(&peerpb.Frame{Body: &peerpb.Frame_Estimates{Estimates: m}})
 	}
 }
 
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -331,9 +331,7 @@
 	}
 
 	if len(runs) > 0 {
-		s.send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{
-			WorkerReport: peer.EncodeReport(false, s.gate, runs, nil),
-		}})
+		s.sendRuns(false, runs, nil)
 	}
 }
 
@@ -438,9 +436,7 @@
 
 	if len(refused) > 0 {
 		// Without the runs that are present, the leader would take their tasks for free.
-		s.send(&peerpb.Frame{Body: &peerpb.Frame_WorkerReport{
-			WorkerReport: peer.EncodeReport(false, s.gate, present, refused),
-		}})
+		s.sendRuns(false, present, refused)
 	}
 }
 
