Reject a job for good that the store will never accept

Cause: any status but 200 and 412 counted as a refusal for the time being.

A submission is answered 413 with the size and the limit, before a call if the size is known; the limit comes from the platform's settings (RowBytes). If the job is stored, a repeat still succeeds: its row may have been shorter then. The emulated store has the limits of rows, calls and pages.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -275,7 +275,7 @@
 	case err == nil:
 	case errors.Is(err, platform.ErrNoJob):
 		outcome = "NoJob"
-	case errors.Is(err, platform.ErrRefused):
+	case errors.Is(err, platform.ErrRefused), errors.Is(err, platform.ErrUnstorable):
 		outcome = "Refused"
 	default:
 		outcome = "Unknown"
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -235,7 +235,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	ok := err == nil || errors.Is(err, rows.ErrConflict) || errors.Is(err, rows.ErrHistoryLost)
+	ok := showsReachable(err) || errors.Is(err, rows.ErrHistoryLost)
 	if c.relayBreaker.Report(0, ok) {
 		c.log.Warn("Relay", zap.Bool("Reached", ok), jsonlog.Error(err))
 	}
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -72,21 +72,29 @@
 		return fmt.Errorf("encode job: %w", errors.Join(platform.ErrRefused, err))
 	}
 
-	err = c.commit(ctx, rows.Transaction{
-		Part: partOf(id),
-		Expect: []rows.Expectation{{
+	if len(value) > c.settings.Store.RowLimit() {
+		err = rows.ErrInvalid
+	} else {
+		err = c.commit(ctx, rows.Transaction{
+			Part: partOf(id),
+			Expect: []rows.Expectation{{
+				Table: jobTable,
+				Key:   id,
+			}},
+		}, rows.Row{
 			Table: jobTable,
 			Key:   id,
-		}},
-	}, rows.Row{
-		Table: jobTable,
-		Key:   id,
-		Value: value,
-	})
+			Value: value,
+		})
+	}
+
 	repeated := errors.Is(err, rows.ErrConflict)
 
-	if repeated {
+	switch {
+	case repeated:
 		err = nil
+	case errors.Is(err, rows.ErrInvalid):
+		repeated, err = c.checkUnstorable(ctx, id, len(value))
 	}
 
 	c.log.Info("JobSubmitted", zap.String("Job", id), zap.String("Queue", q.Name), zap.Int("Steps", len(s.Steps)),
@@ -96,12 +104,26 @@
 	return err
 }
 
+// checkUnstorable returns the error for a job whose row of a size, in bytes, the store never
+// accepts. It returns true and no error if the job is stored: at the time of its first submission, its
+// row may have been shorter.
+func (c *Coordinator) checkUnstorable(ctx context.Context, id string, size int) (bool, error) {
+	known, _, err := c.readJob(ctx, id)
+	if known || err != nil {
+		return known, err
+	}
+
+	c.meter.Count("jobs_unstorable_total")
+
+	return false, fmt.Errorf("its row has %d bytes, at most %d: %w", size, c.settings.Store.RowLimit(), platform.ErrUnstorable)
+}
+
 // commit writes a row by an idempotent transaction, which it retries, and notifies the
-// leader. The error is rows.ErrConflict, platform.ErrUnknown if any attempt may have
-// been applied, or platform.ErrRefused if none was sent or all were refused. A refusal
-// comes early. If an attempt is in doubt, commit goes on until ctx is done, also while
-// the store is out of reach: the row may be written, and a caller that isn't told so
-// can't safely submit the job under another ID.
+// leader. The error is rows.ErrConflict, rows.ErrInvalid, platform.ErrUnknown if any
+// attempt may have been applied, or platform.ErrRefused if none was sent or all were
+// refused. A refusal comes early. If an attempt is in doubt, commit goes on until ctx is
+// done, also while the store is out of reach: the row may be written, and a caller that
+// isn't told so can't safely submit the job under another ID.
 func (c *Coordinator) commit(ctx context.Context, t rows.Transaction, row rows.Row) error {
 	t.Set = []rows.Row{row}
 	began := time.Now()
@@ -126,6 +148,9 @@
 			return nil
 		case errors.Is(err, rows.ErrConflict):
 			return err
+		case errors.Is(err, rows.ErrInvalid):
+			// An earlier attempt, if there was one, was rejected as well.
+			return fmt.Errorf("store: %w", err)
 		case errors.Is(err, rows.ErrUnknown):
 			outcome = platform.ErrUnknown
 		}
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -88,7 +88,7 @@
 		late := !waiting
 		mu.Unlock()
 
-		if !late || err == nil || errors.Is(err, rows.ErrConflict) {
+		if !late || showsReachable(err) {
 			// A call that was given up has already been recorded as failed.
 			c.observe(sent, stamp, err)
 		}
@@ -120,10 +120,15 @@
 	return rows.Stamp{}, err
 }
 
+// showsReachable reports whether the outcome of a call shows that the store serves this process.
+func showsReachable(err error) bool {
+	return err == nil || errors.Is(err, rows.ErrConflict) || errors.Is(err, rows.ErrInvalid)
+}
+
 // observe records the outcome of a call that was sent at a local time.
 func (c *Coordinator) observe(sent time.Duration, stamp rows.Stamp, err error) {
 	now := c.now()
-	answered := err == nil || errors.Is(err, rows.ErrConflict)
+	answered := showsReachable(err)
 	c.meter.Observe(now-sent, "store_calls", "answered", strconv.FormatBool(answered))
 
 	c.mu.Lock()
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -44,6 +44,8 @@
 	// a leader's attempts have higher numbers than those of its predecessor, whose
 	// starts it doesn't all know.
 	attemptsPerTerm = 1000
+	// DefaultRowBytes is the limit of the value of a row of the store if none is set.
+	DefaultRowBytes = 64 << 10
 )
 
 // Orders are the starts and stops that a worker is to carry out.
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -18,6 +18,7 @@
 	outcomeUnknown      = "Unknown"
 	outcomeHistoryLost  = "HistoryLost"
 	outcomeRefused      = "Refused"
+	outcomeInvalid      = "Invalid"
 )
 
 // EncodeTransaction encodes a transaction as a call.
@@ -144,6 +145,8 @@
 		m.Outcome = outcomeUnknown
 	case errors.Is(err, rows.ErrHistoryLost):
 		m.Outcome = outcomeHistoryLost
+	case errors.Is(err, rows.ErrInvalid):
+		m.Outcome = outcomeInvalid
 	default:
 		m.Outcome = outcomeRefused
 	}
@@ -174,6 +177,8 @@
 		return rows.Page{}, rows.ErrHistoryLost
 	case outcomeRefused:
 		return rows.Page{}, rows.ErrRefused
+	case outcomeInvalid:
+		return rows.Page{}, rows.ErrInvalid
 	default:
 		return rows.Page{}, rows.ErrUnknown
 	}
--- a/io/peer/store_test.go
+++ b/io/peer/store_test.go
@@ -23,11 +23,12 @@
 		"Unknown":      rows.ErrUnknown,
 		"Refused":      rows.ErrRefused,
 		"HistoryLost":  rows.ErrHistoryLost,
+		"Invalid":      rows.ErrInvalid,
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, got := DecodeStoreAnswer(encodeStoreAnswer(1, rows.Page{}, err))
 
-			for _, known := range []error{rows.ErrConflict, rows.ErrUnknown, rows.ErrRefused, rows.ErrHistoryLost} {
+			for _, known := range []error{rows.ErrConflict, rows.ErrUnknown, rows.ErrRefused, rows.ErrHistoryLost, rows.ErrInvalid} {
 				assert.Equal(t, errors.Is(got, known), errors.Is(err, known), "%v: %v", known, got)
 			}
 
--- a/io/rows/rows.go
+++ b/io/rows/rows.go
@@ -29,6 +29,9 @@
 	// ErrRefused says that the store did nothing, for example because it is
 	// overloaded or limits the rate of calls.
 	ErrRefused = eris.New("the store refused")
+	// ErrInvalid says that the store did nothing and will never accept the transaction, for
+	// example because a value is too large.
+	ErrInvalid = eris.New("the store rejects the transaction")
 	// ErrUnknown says that a transaction is in doubt: it may have been applied, or
 	// may still be applied later.
 	ErrUnknown = eris.New("the store's answer was lost")
@@ -98,7 +101,8 @@
 
 // Store is a client of the store. All functions may be called concurrently.
 type Store struct {
-	// Commit applies a transaction. Its errors are ErrConflict, ErrRefused or ErrUnknown.
+	// Commit applies a transaction. Its errors are ErrConflict, ErrRefused, ErrInvalid or
+	// ErrUnknown.
 	Commit func(context.Context, Transaction) (Stamp, error)
 	// Range reads the rows of a part in the order of their keys: those with keys of
 	// at least from and below to. An empty from or to sets no bound.
--- a/settings/node.go
+++ b/settings/node.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"trefoildeck/core/fleet"
 	"trefoildeck/core/resource"
 	"trefoildeck/io/declaration"
 )
@@ -45,6 +46,25 @@
 // StoreSection is the section [Store].
 type StoreSection struct {
 	Address netip.AddrPort
+	// RowBytes is the largest value of a row that the store accepts, in bytes, or 0 for
+	// fleet.DefaultRowBytes.
+	RowBytes int64
+}
+
+const (
+	minRowBytes = 1 << 10
+	// maxUsedRowBytes bounds the rows that are written, since a call of the store takes 1 MB, and
+	// base64 adds a third.
+	maxUsedRowBytes = 640 << 10
+)
+
+// RowLimit returns the largest value of a row that is written, in bytes.
+func (s StoreSection) RowLimit() int {
+	if s.RowBytes == 0 {
+		return fleet.DefaultRowBytes
+	}
+
+	return int(min(s.RowBytes, maxUsedRowBytes))
 }
 
 // NodeWorkerSection is the section [Worker]: the worker beside an agent.
@@ -125,6 +145,10 @@
 	p.Section = "Store"
 	c.address("Address", n.Store.Address)
 
+	if n.Store.RowBytes != 0 {
+		c.number("RowBytes", n.Store.RowBytes, minRowBytes, maxAmount)
+	}
+
 	p.Section = "Bounds"
 	c.duration("DrainGrace", n.Bounds.DrainGrace, time.Second)
 }
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -34,6 +34,7 @@
 		"IP":       {"IP = 10.1.0.13", "IP = x", "IP"},
 		"Ports":    {"PeerPort = 7720", "PeerPort = 0", "PeerPort"},
 		"Duration": {"6s", "six", "DrainGrace"},
+		"RowBytes": {"Address = 10.200.1.7:8169", "Address = 10.200.1.7:8169\nRowBytes = 9", "RowBytes"},
 		"Section":  {"[Bounds]", "[Limits]", "Limits"},
 		"Key":      {"MemoryMB", "MemoryGB", "MemoryGB"},
 	}
--- a/standin/emulator/row_store.go
+++ b/standin/emulator/row_store.go
@@ -93,14 +93,21 @@
 	_, _ = s.apply(rows.Transaction{Set: []rows.Row{r}})
 }
 
+// maxRowBytes is the largest value of a row.
+const maxRowBytes = 64 << 10
+
 // Commit applies a transaction. It returns rows.ErrRefused if the store refuses it,
-// rows.ErrUnknown if its response is lost, and a *rows.Conflict with the current
-// rows if an expectation doesn't hold.
+// rows.ErrInvalid if a value is too large, rows.ErrUnknown if its response is lost, and a
+// *rows.Conflict with the current rows if an expectation doesn't hold.
 func (s *RowStore) Commit(_ context.Context, t rows.Transaction) (rows.Stamp, error) {
 	if s.Refuse() {
 		return rows.Stamp{}, rows.ErrRefused
 	}
 
+	if slices.ContainsFunc(t.Set, func(r rows.Row) bool { return len(r.Value) > maxRowBytes }) {
+		return rows.Stamp{}, rows.ErrInvalid
+	}
+
 	if !s.takeTurn(t.Part) {
 		return rows.Stamp{}, rows.ErrRefused
 	}
@@ -208,15 +215,25 @@
 
 	slices.SortFunc(p.Rows, func(a, b rows.Row) int { return cmp.Compare(a.Key, b.Key) })
 
-	if len(p.Rows) > maxPageRows {
-		p.Rows, p.More = p.Rows[:maxPageRows], true
+	size := 0
+
+	for i, r := range p.Rows {
+		if size += len(r.Value); i == maxPageRows || size > maxPageBytes {
+			p.Rows, p.More = p.Rows[:i], true
+
+			break
+		}
 	}
 
 	return p, nil
 }
 
-// maxPageRows is the largest number of rows in a response of the platform's store.
-const maxPageRows = 500
+// maxPageRows is the largest number of rows in a response of the platform's store, and
+// maxPageBytes the largest sum of their values.
+const (
+	maxPageRows  = 500
+	maxPageBytes = 1 << 20
+)
 
 // Feed returns the changes of a table after a version, and waits up to wait for the
 // first one. It returns rows.ErrHistoryLost if some of them were dropped.
--- a/standin/emulator/store_handler.go
+++ b/standin/emulator/store_handler.go
@@ -34,7 +34,9 @@
 
 	mux.HandleFunc("POST /trefoildeck/rows-tx", func(w http.ResponseWriter, r *http.Request) {
 		var t wireTransaction
-		if json.NewDecoder(r.Body).Decode(&t) != nil || len(t.Expect)+len(t.Set)+len(t.Remove) > maxTransactionEntries {
+
+		body := http.MaxBytesReader(w, r.Body, maxTransactionBytes)
+		if json.NewDecoder(body).Decode(&t) != nil || len(t.Expect)+len(t.Set)+len(t.Remove) > maxTransactionEntries {
 			w.WriteHeader(http.StatusBadRequest)
 
 			return
@@ -70,8 +72,11 @@
 }
 
 // maxTransactionEntries is the largest number of expectations, set and removed rows
-// in one transaction.
-const maxTransactionEntries = 100
+// in one transaction, and maxTransactionBytes the largest size of its call.
+const (
+	maxTransactionEntries = 100
+	maxTransactionBytes   = 1 << 20
+)
 
 // decode converts the transaction, and returns false if its rows are in several
 // parts.
@@ -125,6 +130,8 @@
 		status, p.Rows = http.StatusPreconditionFailed, conflict.Rows
 	case errors.Is(err, rows.ErrHistoryLost):
 		status = http.StatusGone
+	case errors.Is(err, rows.ErrInvalid):
+		status = http.StatusBadRequest
 	case errors.Is(err, rows.ErrUnknown):
 		// The connection is closed without a response.
 		panic(http.ErrAbortHandler)
