Store the progress of a job in rows that fit the store

Cause: the progress of a job was one row, of 140,755 bytes here, where the store accepts 65,536. It rejected the transaction with the progress of up to 44 other jobs in it. Without a record, no end is acknowledged, and a worker lists no ends beyond 500.

Why it works: a row has the state of 128 tasks, whose notes are bounded; a longer note has a row of its own, written first. A transaction has at most 45 rows and 512 KB of values. Only rows that changed are written, and rows of a job that is over are removed but for its state. A job of up to 128 tasks with short checkpoints has one row, as before.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -60,6 +60,8 @@
 	// A write whose answer was lost may be applied seconds later; the expected version
 	// keeps it from overwriting a later write.
 	versions map[string]int64
+	// repeats limits the log lines about checkpoints that can't be stored.
+	repeats jsonlog.Repeats
 
 	leaseMu sync.Mutex
 	lease   leaseState
@@ -77,10 +79,13 @@
 }
 
 func newLeader(c *Coordinator, term int64, ls leaseState) *leader {
+	f := fleet.New(term)
+	f.RowBytes = c.settings.Store.RowLimit()
+
 	return &leader{
 		c:     c,
 		term:  term,
-		fleet: fleet.New(term),
+		fleet: f,
 		nodes: map[string]*nodeLink{},
 
 		versions: map[string]int64{},
@@ -321,7 +326,7 @@
 func (l *leader) load(ctx context.Context) (int64, error) {
 	began := l.c.now()
 
-	progress := map[string][]byte{}
+	progress := map[string][]fleet.StoredRow{}
 
 	p, err := l.readAll(ctx, progressTable, leadPart)
 	if err != nil {
@@ -329,7 +334,11 @@
 	}
 
 	for _, r := range p.Rows {
-		progress[r.Key] = r.Value
+		id := fleet.JobOfRow(r.Key)
+		progress[id] = append(progress[id], fleet.StoredRow{
+			Key:   r.Key,
+			Value: r.Value,
+		})
 		l.setVersion(r.Key, r.Version)
 	}
 
@@ -347,7 +356,7 @@
 // loadParts reads the parts of the jobs at the same time and adds their jobs to the fleet.
 // It returns the lowest version of the parts, from which the feed continues, and the number
 // of rows.
-func (l *leader) loadParts(ctx context.Context, progress map[string][]byte) (after int64, n int, err error) {
+func (l *leader) loadParts(ctx context.Context, progress map[string][]fleet.StoredRow) (after int64, n int, err error) {
 	var mu sync.Mutex
 
 	group, ctx := errgroup.WithContext(ctx)
@@ -391,9 +400,9 @@
 	}
 }
 
-// loadJobs adds the jobs of one part to the fleet. progress maps job IDs to their
-// encoded progress.
-func (l *leader) loadJobs(list []rows.Row, progress map[string][]byte) {
+// loadJobs adds the jobs of one part to the fleet. progress maps job IDs to the rows of
+// their progress.
+func (l *leader) loadJobs(list []rows.Row, progress map[string][]fleet.StoredRow) {
 	cancelled := map[string]bool{}
 
 	for _, r := range list {
--- a/coordinator/malformed_test.go
+++ b/coordinator/malformed_test.go
@@ -137,6 +137,9 @@
 	assert.NilError(f, err)
 
 	f.Add("00000000000000d1", record, []byte(`{"State":"Running"}`))
+	f.Add("00000000000000d1", record, []byte(`{"Done":"AQ==","Notes":[{"Task":1,"Checkpoint":"c"},{"Task":9}]}`))
+	f.Add("00000000000000d1/s9", record, []byte(`{"Done":"AQ=="}`))
+	f.Add("00000000000000d1/t-1", record, []byte(`{"Notes":[{"Task":-1}]}`))
 	f.Add("term", []byte(`{"Term":3}`), []byte(`{`))
 
 	f.Fuzz(func(t *testing.T, key string, value, progress []byte) {
@@ -146,7 +149,10 @@
 			Value: value,
 		}
 
-		l.loadJobs([]rows.Row{r}, map[string][]byte{key: progress})
+		l.loadJobs([]rows.Row{r}, map[string][]fleet.StoredRow{fleet.JobOfRow(key): {{
+			Key:   key,
+			Value: progress,
+		}}})
 		l.applyJobRow(r)
 		l.c.applyOperatorRow(r)
 		// Only panics are failures.
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -16,9 +16,12 @@
 )
 
 const (
-	// batchRows limits the jobs per transaction: the store accepts 100 entries, and
-	// each job needs two, one for the write and one for the expected version.
+	// batchRows limits the rows per transaction: the store accepts 100 entries, and
+	// each row needs two, one for the write and one for the expected version.
 	batchRows = 45
+	// batchBytes limits the values per transaction: the store accepts 1 MB, in which
+	// base64 adds a third to the values.
+	batchBytes = 512 << 10
 	// flushDelay batches ends of tasks into one transaction. It delays the moment when
 	// callers see a job as finished.
 	flushDelay = 20 * time.Millisecond
@@ -61,7 +64,16 @@
 	defer func() { <-l.committing }()
 
 	l.mu.Lock()
-	b, err := l.fleet.Changes(batchRows)
+	b, err := l.fleet.Changes(fleet.BatchLimits{
+		Rows:  batchRows,
+		Bytes: batchBytes,
+	})
+
+	for _, u := range l.fleet.UnstoredCheckpoints() {
+		l.repeats.Log(l.c.log, zap.WarnLevel, "CheckpointNotStored", "too large", zap.String("Job", u.Job),
+			zap.Int("Bytes", u.Bytes), zap.Int("Limit", u.Limit))
+	}
+
 	l.mu.Unlock()
 
 	if err != nil {
@@ -73,7 +85,7 @@
 	}
 
 	switch {
-	case len(b.Progress) > 0:
+	case len(b.Rows) > 0:
 		err = l.commitProgress(ctx, b)
 	case !l.holdsLease():
 		// The ends in it changed nothing, maybe because their jobs are known to the next
@@ -121,16 +133,28 @@
 
 	l.mu.Lock()
 
-	for id, p := range b.Progress {
+	for _, r := range b.Rows {
+		version := l.versions[r.Key]
+		row := rows.Row{
+			Table: progressTable,
+			Key:   r.Key,
+			Value: r.Value,
+		}
+
+		switch {
+		case r.Value != nil:
+			t.Set = append(t.Set, row)
+		case version > 0:
+			t.Remove = append(t.Remove, row)
+		default:
+			// There is nothing to remove.
+			continue
+		}
+
 		t.Expect = append(t.Expect, rows.Expectation{
 			Table:   progressTable,
-			Key:     id,
-			Version: l.versions[id],
-		})
-		t.Set = append(t.Set, rows.Row{
-			Table: progressTable,
-			Key:   id,
-			Value: p,
+			Key:     r.Key,
+			Version: version,
 		})
 	}
 
@@ -141,8 +165,13 @@
 		return l.resolveConflict(term, b, err)
 	}
 
-	for id := range b.Progress {
-		l.setVersion(id, stamp.Version)
+	for _, r := range b.Rows {
+		version := stamp.Version
+		if r.Value == nil {
+			version = 0
+		}
+
+		l.setVersion(r.Key, version)
 	}
 
 	for id, s := range b.Final() {
@@ -174,16 +203,23 @@
 		}
 	}
 
-	for id := range b.Progress {
-		l.setVersion(id, found[id])
+	for _, r := range b.Rows {
+		l.setVersion(r.Key, found[r.Key])
 	}
 
 	return fmt.Errorf("write progress: %w", err)
 }
 
-func (l *leader) setVersion(id string, version int64) {
+// setVersion records the version of a row of progress, 0 if there is none.
+func (l *leader) setVersion(key string, version int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.versions[id] = version
+	if version == 0 {
+		delete(l.versions, key)
+
+		return
+	}
+
+	l.versions[key] = version
 }
--- a/coordinator/progress_test.go
+++ b/coordinator/progress_test.go
@@ -107,7 +107,10 @@
 		assert.NilError(t, f.Load(0, 0, job.Record{
 			ID:   jobID,
 			Spec: job.Spec{Steps: []job.Step{{Count: 2}}},
-		}, list[0].Value, false))
+		}, []fleet.StoredRow{{
+			Key:   jobID,
+			Value: list[0].Value,
+		}}, false))
 
 		state, _ := f.State(jobID)
 		assert.Equal(t, state, job.Succeeded)
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -27,6 +27,9 @@
 	// jobKeysEnd is appended to a job's ID to form the exclusive end of the range of
 	// its keys; "0" is the byte after "/".
 	jobKeysEnd = "0"
+	// headKeyEnd is appended to a job's ID to form the exclusive end of the range of the first
+	// row of its progress, which has its state.
+	headKeyEnd = "/"
 	// jobParts is the number of parts that jobs are spread over. A part applies its
 	// transactions one by one: 200 a second, or 2 a second when the store is slow.
 	jobParts = 64
@@ -235,7 +238,7 @@
 		return "", platform.ErrNoJob
 	}
 
-	p, err := c.store.Range(ctx, progressTable, leadPart, id, id+jobKeysEnd)
+	p, err := c.store.Range(ctx, progressTable, leadPart, id, id+headKeyEnd)
 	if err != nil {
 		return "", fmt.Errorf("read progress: %w", errors.Join(platform.ErrRefused, err))
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -16,7 +16,7 @@
 //	f.Load(now, age, record, progress, cancelled) // each stored job, at the start of the term
 //	f.Report(now, node, report)                   // with each report of a node
 //	for node, o := range f.Schedule(now, wall) { … }
-//	batch, err := f.Changes(limit)                // write it to the store
+//	batch, err := f.Changes(limits)               // write it to the store
 //	ends := f.Committed(batch)                    // tell the nodes which ends are recorded
 //
 // Callers see the end of a job only once it is stored. Until the end of a run is
@@ -82,6 +82,8 @@
 	// Out has the data centres that an operator took out of service: no task starts
 	// there.
 	Out map[string]bool
+	// RowBytes is the limit of the value of a row of progress.
+	RowBytes int
 
 	term    int64
 	jobs    map[string]*jobInfo
@@ -112,6 +114,7 @@
 	quarantines []Quarantine
 	stalls      []Stall
 	losses      []Loss
+	unstored    []UnstoredCheckpoint
 	// unawaited has the nodes whose first reports are no longer awaited.
 	unawaited []string
 }
@@ -126,6 +129,7 @@
 func New(term int64) *Fleet {
 	return &Fleet{
 		Out:        map[string]bool{},
+		RowBytes:   DefaultRowBytes,
 		term:       term,
 		jobs:       map[string]*jobInfo{},
 		workers:    map[string]*workerInfo{},
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -40,6 +42,27 @@
 	}
 }
 
+// testLimits are the limits of a transaction of the store.
+var testLimits = BatchLimits{
+	Rows:  45,
+	Bytes: 512 << 10,
+}
+
+// applyRows returns stored rows after those of a batch were written or removed, by key.
+func applyRows(stored []StoredRow, b Batch) []StoredRow {
+	for _, r := range b.Rows {
+		stored = slices.DeleteFunc(slices.Clone(stored), func(s StoredRow) bool { return s.Key == r.Key })
+
+		if r.Value != nil {
+			stored = append(stored, r)
+		}
+	}
+
+	slices.SortFunc(stored, func(a, b StoredRow) int { return strings.Compare(a.Key, b.Key) })
+
+	return stored
+}
+
 // incarnation returns the only incarnation of a node's worker in these tests.
 func incarnation(node string) gate.Incarnation {
 	return gate.Incarnation{
@@ -139,7 +162,7 @@
 
 			assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 0)
 
-			b, err := f.Changes(10)
+			b, err := f.Changes(testLimits)
 			assert.NilError(t, err)
 			f.Committed(b)
 
@@ -158,11 +181,11 @@
 	f.Schedule(0, time.Time{})
 	f.RecordEnd(0, "n1", end("n1", 1, jobA, 1, gate.Failed).End)
 
-	b, err := f.Changes(10)
+	b, err := f.Changes(testLimits)
 	assert.NilError(t, err)
 
 	g := New(2)
-	assert.NilError(t, g.Load(0, 0, record(jobA, step(1)), b.Progress[jobA], false))
+	assert.NilError(t, g.Load(0, 0, record(jobA, step(1)), applyRows(nil, b), false))
 	g.Report(0, "n1", described("n1"))
 
 	for _, a := range []int{1, 1001, 1002} {
--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -39,6 +39,7 @@
 		"leaders":       {killEntry: 0.15, pauseEntry: 0.15, resign: 0.2, cut: 0.2, loseWrite: 0.1, pauseInside: 0.002, maxDelay: 50 * time.Millisecond},
 		"resignations":  {resign: 0.4, killAgent: 0.2, cut: 0.8, loseWrite: 0.4, maxDelay: 100 * time.Millisecond},
 		"pauses inside": {pauseInside: 0.01, resign: 0.1, silent: 0.1, loseCall: 0.05, maxDelay: 100 * time.Millisecond},
+		"small rows":    {killEntry: 0.1, resign: 0.2, cut: 0.2, crash: 0.1, loseWrite: 0.2, maxDelay: 50 * time.Millisecond, smallRows: true},
 		"together": {
 			killAgent: 0.15, killAllAgents: 0.02, killAllEntries: 0.02, pauseAgent: 0.15, killEntry: 0.08, pauseEntry: 0.1, resign: 0.1, cut: 0.3,
 			crash: 0.08, silent: 0.15, leave: 0.03, loseCall: 0.05, loseWrite: 0.1, pauseInside: 0.003, maxDelay: 200 * time.Millisecond,
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -36,12 +36,16 @@
 	// notBefore is the earliest time of the next start. It is set when an order had
 	// no effect.
 	notBefore time.Duration
+	// noteRow means that the note of the task has a row of its own.
+	noteRow bool
 }
 
 // stepInfo is the state of one occurrence of a step.
 type stepInfo struct {
 	spec  *job.Step
 	tasks []taskInfo
+	// first is the number of the first task among all tasks of the job.
+	first int
 	done  int
 	// waiting is the number of tasks in the phase waiting.
 	waiting int
@@ -74,6 +78,9 @@
 	lateness int
 	// retryTimes has the times when tasks that were delayed by notBefore may start.
 	retryTimes []time.Duration
+	// dirty has the rows of the job's progress that are to be written or removed, and stored
+	// those that are, or may be, in the store.
+	dirty, stored map[rowName]bool
 }
 
 func newJob(r job.Record, deadline time.Duration) *jobInfo {
@@ -83,11 +90,17 @@
 		durableState: job.Queued,
 		deadline:     deadline,
 		steps:        make([]stepInfo, len(r.Spec.Steps)*max(1, r.Spec.Repeat)),
+		dirty:        map[rowName]bool{},
+		stored:       map[rowName]bool{},
 	}
 
+	first := 0
+
 	for i := range j.steps {
 		s := &j.steps[i]
 		s.spec = &j.record.Spec.Steps[i%len(r.Spec.Steps)]
+		s.first = first
+		first += s.spec.Count
 		s.tasks = make([]taskInfo, s.spec.Count)
 		s.waiting = s.spec.Count
 		s.perWorker = map[*workerInfo]int{}
@@ -147,7 +160,7 @@
 // finishJob ends a job in a final state and stops its active tasks.
 func (f *Fleet) finishJob(j *jobInfo, s job.State) {
 	j.state = s
-	f.changed[j.record.ID] = j
+	f.markFinished(j)
 
 	for i := range j.steps {
 		for k := range j.steps[i].tasks {
@@ -261,7 +274,7 @@
 		// Another attempt is under way, so only a failure has to be counted.
 		if e.Reason == gate.Failed && !j.state.Final() {
 			f.taskFailed(j, s, t, node, e.Attempt)
-			f.changed[j.record.ID] = j
+			f.markChanged(j, s, e.Task.Index)
 		}
 
 		return
@@ -310,7 +323,7 @@
 	default:
 	}
 
-	f.changed[j.record.ID] = j
+	f.markChanged(j, s, e.Task.Index)
 }
 
 // notRunDelay is the delay before a task is ordered again after an order had no
--- a/core/fleet/progress.go
+++ b/core/fleet/progress.go
@@ -1,114 +1,16 @@
 package fleet
 
 import (
-	"encoding/json"
-	"fmt"
-	"maps"
 	"time"
 
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
 )
 
-// progress is the stored progress of a job. Its record is stored separately.
-type progress struct {
-	State job.State      `json:",omitempty"`
-	Steps []stepProgress `json:",omitempty"`
-}
-
-type stepProgress struct {
-	// Done is a bitmap of the finished tasks, the lowest bit of each byte first.
-	Done  []byte `json:",omitempty"`
-	Notes []note `json:",omitempty"`
-}
-
-// note is the stored state of an unfinished task that failed or has a checkpoint.
-type note struct {
-	Index      int
-	Attempt    int    `json:",omitempty"`
-	Failures   []int  `json:",omitempty"`
-	Checkpoint string `json:",omitempty"`
-}
-
-func (j *jobInfo) progress() progress {
-	if j.state.Final() {
-		return progress{State: j.state}
-	}
-
-	p := progress{Steps: make([]stepProgress, len(j.steps))}
-
-	for i := range j.steps {
-		s := &j.steps[i]
-		if s.done > 0 {
-			p.Steps[i].Done = make([]byte, (len(s.tasks)+7)/8)
-		}
-
-		for k := range s.tasks {
-			t := &s.tasks[k]
-
-			switch {
-			case t.phase == done:
-				p.Steps[i].Done[k/8] |= 1 << (k % 8)
-			case len(t.failures) > 0 || t.checkpoint != "":
-				p.Steps[i].Notes = append(p.Steps[i].Notes, note{
-					Index:      k,
-					Attempt:    t.attempt,
-					Failures:   t.failures,
-					Checkpoint: t.checkpoint,
-				})
-			}
-		}
-	}
-
-	return p
-}
-
-// restore sets a new job to its stored progress.
-func (j *jobInfo) restore(data []byte) error {
-	var p progress
-	if err := json.Unmarshal(data, &p); err != nil {
-		return fmt.Errorf("decode progress of %s: %w", j.record.ID, err)
-	}
-
-	if p.State.Final() {
-		j.state, j.durableState = p.State, p.State
-	}
-
-	for i, sp := range p.Steps {
-		if i >= len(j.steps) {
-			break
-		}
-
-		j.steps[i].restore(sp)
-		j.started = j.started || len(sp.Done)+len(sp.Notes) > 0
-	}
-
-	return nil
-}
-
-func (s *stepInfo) restore(p stepProgress) {
-	for k := range s.tasks {
-		if k/8 < len(p.Done) && p.Done[k/8]&(1<<(k%8)) != 0 {
-			s.tasks[k].phase = done
-			s.done++
-			s.waiting--
-		}
-	}
-
-	for _, n := range p.Notes {
-		if n.Index < 0 || n.Index >= len(s.tasks) {
-			continue
-		}
-
-		t := &s.tasks[n.Index]
-		t.attempt, t.ended, t.failures, t.checkpoint = n.Attempt, n.Attempt, n.Failures, n.Checkpoint
-	}
-}
-
-// Load adds a stored job with its stored progress or nil. Its age is the time since
-// it was accepted. Load is called at the start of a term and after changes were
+// Load adds a stored job with the rows of its progress, in the order of their keys. Its age is
+// the time since it was accepted. Load is called at the start of a term and after changes were
 // missed. Of a job that is known, only the cancellation can be new.
-func (f *Fleet) Load(now, age time.Duration, r job.Record, stored []byte, cancelled bool) error {
+func (f *Fleet) Load(now, age time.Duration, r job.Record, stored []StoredRow, cancelled bool) error {
 	if !f.Add(now, age, r) {
 		if cancelled {
 			f.Cancel(r.ID)
@@ -120,26 +22,52 @@
 	j := f.jobs[r.ID]
 	j.loaded = true
 
-	if stored != nil {
-		if err := j.restore(stored); err != nil {
-			return err
-		}
+	if err := j.restore(stored); err != nil {
+		return err
 	}
 
 	if cancelled && !j.state.Final() {
 		j.state, j.durableState = job.Cancelled, job.Cancelled
 	}
 
+	if j.state.Final() {
+		f.removeRows(j)
+	}
+
 	return nil
 }
 
+// removeRows marks the rows of a job that is over as to be removed, but for its state.
+func (f *Fleet) removeRows(j *jobInfo) {
+	for n := range j.stored {
+		if n != head {
+			j.dirty[n] = true
+			f.changed[j.record.ID] = j
+		}
+	}
+}
+
+// BatchLimits bound a batch, so that it fits into one transaction.
+type BatchLimits struct {
+	// Rows is the largest number of rows, and Bytes that of the sum of their values. One row
+	// may be larger.
+	Rows, Bytes int
+}
+
 // Batch is a set of changes to be stored in one transaction.
 type Batch struct {
-	// Progress has the encoded progress of the changed jobs by ID.
-	Progress map[string][]byte
+	// Rows has the rows to be written or removed.
+	Rows []StoredRow
+	// names has the job and the name of each row, parallel to Rows.
+	names    []jobRow
+	bytes    int
 	final    map[string]job.State
 	endMarks map[string]endMark
-	jobs     map[string]*jobInfo
+}
+
+type jobRow struct {
+	job  *jobInfo
+	name rowName
 }
 
 // RecordedEnds tells a worker that the ends of an incarnation up to Number are
@@ -150,36 +78,27 @@
 	Number      int64
 }
 
-// Changes returns the changes since the last call, for at most limit jobs. Others
-// are left for the next call.
-func (f *Fleet) Changes(limit int) (Batch, error) {
+// Changes returns the changes since the last call, as far as the limits allow. Others are left for
+// the next call.
+func (f *Fleet) Changes(l BatchLimits) (Batch, error) {
 	b := Batch{
-		Progress: map[string][]byte{},
 		final:    map[string]job.State{},
 		endMarks: map[string]endMark{},
-		jobs:     map[string]*jobInfo{},
 	}
 
 	for id, j := range f.changed {
-		if len(b.Progress) == limit {
-			break
-		}
-
-		p, err := json.Marshal(j.progress())
+		full, err := f.takeRows(&b, j, l)
 		if err != nil {
-			return Batch{}, fmt.Errorf("encode progress of %s: %w", id, err)
+			return Batch{}, err
 		}
 
-		b.Progress[id] = p
-		b.jobs[id] = j
-
-		if j.state.Final() {
-			b.final[id] = j.state
+		if len(j.dirty) == 0 {
+			delete(f.changed, id)
 		}
-	}
 
-	for id := range b.Progress {
-		delete(f.changed, id)
+		if full {
+			break
+		}
 	}
 
 	if len(f.changed) == 0 {
@@ -191,14 +110,68 @@
 	return b, nil
 }
 
+// takeRows moves the changed rows of a job to a batch. It returns true if the batch has no room
+// for one of them.
+func (f *Fleet) takeRows(b *Batch, j *jobInfo, l BatchLimits) (bool, error) {
+	if !j.state.Final() {
+		f.separateLongNotes(j)
+	}
+
+	for _, n := range j.dirtyRows() {
+		key := n.key(j.record.ID)
+		value, err := f.encodeRow(j, n)
+		if err != nil {
+			return false, err
+		}
+
+		if value == nil && !j.stored[n] {
+			delete(j.dirty, n)
+
+			continue
+		}
+
+		if len(b.Rows) > 0 && (len(b.Rows) >= l.Rows || b.bytes+len(value) > l.Bytes) {
+			return true, nil
+		}
+
+		b.Rows = append(b.Rows, StoredRow{
+			Key:   key,
+			Value: value,
+		})
+		b.names = append(b.names, jobRow{
+			job:  j,
+			name: n,
+		})
+		b.bytes += len(value)
+
+		delete(j.dirty, n)
+
+		if value != nil {
+			j.stored[n] = true
+		}
+
+		if n == head && j.state.Final() {
+			b.final[j.record.ID] = j.state
+		}
+	}
+
+	return false, nil
+}
+
 // Empty reports whether a batch has no changes.
-func (b Batch) Empty() bool { return len(b.Progress) == 0 && len(b.endMarks) == 0 }
+func (b Batch) Empty() bool { return len(b.Rows) == 0 && len(b.endMarks) == 0 }
 
 // Committed records that a batch is stored and returns the ends that workers may
 // forget.
 func (f *Fleet) Committed(b Batch) []RecordedEnds {
-	for id, s := range b.final {
-		b.jobs[id].durableState = s
+	for i, n := range b.names {
+		if b.Rows[i].Value == nil {
+			delete(n.job.stored, n.name)
+		}
+
+		if s, ok := b.final[n.job.record.ID]; ok {
+			n.job.durableState = s
+		}
 	}
 
 	var recorded []RecordedEnds
@@ -217,7 +190,10 @@
 // Requeue returns the changes of a batch that could not be stored to the pending
 // changes.
 func (f *Fleet) Requeue(b Batch) {
-	maps.Copy(f.changed, b.jobs)
+	for _, n := range b.names {
+		n.job.dirty[n.name] = true
+		f.changed[n.job.record.ID] = n.job
+	}
 
 	for node, r := range b.endMarks {
 		if n := f.endMarks[node]; n.incarnation != r.incarnation && n.number > 0 {
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -227,11 +227,11 @@
 		return func(t *testing.T, f *Fleet) *Fleet {
 			t.Helper()
 
-			b, err := end(t, f).Changes(10)
+			b, err := end(t, f).Changes(testLimits)
 			assert.NilError(t, err)
 
 			g := New(2)
-			assert.NilError(t, g.Load(0, 0, record(jobA, step(1)), b.Progress[jobA], false))
+			assert.NilError(t, g.Load(0, 0, record(jobA, step(1)), applyRows(nil, b), false))
 
 			return g
 		}
@@ -442,17 +442,13 @@
 	assert.Equal(t, next.jobs[jobA].state, job.Succeeded)
 }
 
-// storeProgress returns the stored progress of jobA after a fleet's changes were stored.
-func storeProgress(t *testing.T, f *Fleet, stored []byte) []byte {
+// storeProgress returns the stored rows after a fleet's changes were stored.
+func storeProgress(t *testing.T, f *Fleet, stored []StoredRow) []StoredRow {
 	t.Helper()
 
-	b, err := f.Changes(1)
+	b, err := f.Changes(testLimits)
 	assert.NilError(t, err)
 	f.Committed(b)
 
-	if p := b.Progress[jobA]; p != nil {
-		return p
-	}
-
-	return stored
+	return applyRows(stored, b)
 }
--- a/core/fleet/world_leader_test.go
+++ b/core/fleet/world_leader_test.go
@@ -19,6 +19,7 @@
 	scheduleDelay  = 5 * time.Millisecond
 	flushDelay     = 20 * time.Millisecond
 	batchRows      = 45
+	batchBytes     = 512 << 10
 	minRedialDelay = 50 * time.Millisecond
 	maxRedialDelay = 2 * time.Second
 )
@@ -168,6 +169,10 @@
 		}
 
 		l.term, l.fleet = record.Term, fleet.New(record.Term)
+		if e.w.faults.smallRows {
+			l.fleet.RowBytes = 1 << 10
+		}
+
 		l.links, l.versions = map[string]*link{}, map[string]int64{}
 		e.leader = l
 		e.w.logf("%s leads in term %d", e.name, l.term)
@@ -312,8 +317,18 @@
 			return
 		}
 
+		stored := map[string][]fleet.StoredRow{}
+
+		for _, key := range slices.Sorted(maps.Keys(progress)) {
+			id := fleet.JobOfRow(key)
+			stored[id] = append(stored[id], fleet.StoredRow{
+				Key:   key,
+				Value: progress[key],
+			})
+		}
+
 		for _, j := range list {
-			if err := l.fleet.Load(w.now, 0, j.record, progress[j.record.ID], false); err != nil {
+			if err := l.fleet.Load(w.now, 0, j.record, stored[j.record.ID], false); err != nil {
 				panic(err)
 			}
 		}
@@ -642,7 +657,10 @@
 		return
 	}
 
-	b, err := l.fleet.Changes(batchRows)
+	b, err := l.fleet.Changes(fleet.BatchLimits{
+		Rows:  batchRows,
+		Bytes: batchBytes,
+	})
 	if err != nil {
 		panic(err)
 	}
@@ -672,7 +690,7 @@
 		}
 	}
 
-	if len(b.Progress) == 0 {
+	if len(b.Rows) == 0 {
 		if l.holdsLease() {
 			finish(nil)
 		} else {
@@ -689,15 +707,22 @@
 	w := l.e.w
 	expected := map[string]int64{"term": l.termVersion}
 
-	for id := range b.Progress {
-		expected[id] = l.versions[id]
+	for _, row := range b.Rows {
+		expected[row.Key] = l.versions[row.Key]
 	}
 
 	l.e.call(func() stamp {
 		return w.commit(expected, func() {
-			for id, p := range b.Progress {
-				w.store.progress[id] = p
-				w.store.versions[id] = w.store.version
+			for _, row := range b.Rows {
+				if row.Value == nil {
+					delete(w.store.progress, row.Key)
+					delete(w.store.versions, row.Key)
+
+					continue
+				}
+
+				w.store.progress[row.Key] = row.Value
+				w.store.versions[row.Key] = w.store.version
 			}
 		})
 	}, func(r stamp) {
@@ -710,11 +735,14 @@
 			return
 		}
 
-		for id := range b.Progress {
-			if r.err == nil {
-				l.versions[id] = r.version
-			} else if r.conflicts != nil {
-				l.versions[id] = r.conflicts[id]
+		for _, row := range b.Rows {
+			switch {
+			case r.err == nil && row.Value == nil:
+				delete(l.versions, row.Key)
+			case r.err == nil:
+				l.versions[row.Key] = r.version
+			case r.conflicts != nil:
+				l.versions[row.Key] = r.conflicts[row.Key]
 			}
 		}
 
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -60,6 +60,8 @@
 	// message that follows from it.
 	loseCall, loseWrite, pauseInside float64
 	maxDelay                         time.Duration
+	// smallRows says that rows are so small that a task that failed needs one of its own.
+	smallRows bool
 }
 
 // maxRestartDelay is the time after the listing of a success in which its task may start
--- a/integration/platform_large_test.go
+++ b/integration/platform_large_test.go
@@ -1,11 +1,13 @@
 package integration_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
 
 	"trefoildeck/core/job"
+	"trefoildeck/standin/emulator"
 
 	"gotest.tools/v3/assert"
 )
@@ -42,3 +44,39 @@
 	h.checkViolations()
 	assert.Equal(t, h.checker.StartCount(large), count)
 }
+
+// TestHostedManyCheckpoints checks that a job of many tasks with checkpoints ends, and does not keep
+// other jobs from ending: its progress exceeded a row of the store, which then stored none at all.
+func TestHostedManyCheckpoints(t *testing.T) {
+	t.Parallel()
+
+	const count = 2400
+
+	h := startHosted(t, 74, 2, 2)
+
+	for _, w := range h.workers {
+		w.PlanRun = func(id job.TaskID, _ int) emulator.RunPlan {
+			return emulator.RunPlan{
+				Duration:   3*time.Second + time.Duration(id.Index)*time.Millisecond,
+				EndReason:  "done",
+				Checkpoint: fmt.Sprintf("%016x", id.Index),
+			}
+		}
+	}
+
+	large := h.submit(job.Step{
+		Count: count,
+		Size: job.Size{
+			MilliCores: 1,
+			MemoryMB:   1,
+		},
+		Checkpointing: true,
+	})
+
+	h.awaitState("running", large)
+
+	after := h.submit(dependentSteps()...)
+	h.awaitState("succeeded", large, after)
+	h.checkViolations()
+	assert.Equal(t, h.checker.StartCount(large), count)
+}
--- a/standin/emulator/worker.go
+++ b/standin/emulator/worker.go
@@ -20,6 +20,8 @@
 	Duration time.Duration
 	// EndReason is "done" or "failed".
 	EndReason string
+	// Checkpoint is listed from the start on, unless it is empty.
+	Checkpoint string
 }
 
 // Worker emulates a worker that starts every task that it is ordered to start, also
@@ -78,6 +80,8 @@
 	task    job.TaskID
 	attempt int
 	reason  string
+
+	checkpoint string
 	// lapsed says that the lease expired after the end and before its acknowledgement,
 	// which then doesn't count: others may have given the worker up.
 	lapsed bool
@@ -344,7 +348,7 @@
 	running := [][]any{}
 	for t, r := range w.runs {
 		percent := min(100, 100*time.Since(r.startedAt)/max(1, r.plan.Duration))
-		running = append(running, []any{t.String(), r.attempt, "", percent, r.size.MilliCores})
+		running = append(running, []any{t.String(), r.attempt, r.plan.Checkpoint, percent, r.size.MilliCores})
 	}
 
 	finished := [][]any{}
@@ -355,7 +359,7 @@
 			kept = append(kept, e)
 
 			if len(finished) < maxListedEnds {
-				finished = append(finished, []any{e.number, e.task.String(), e.attempt, e.reason, ""})
+				finished = append(finished, []any{e.number, e.task.String(), e.attempt, e.reason, e.checkpoint})
 			}
 		} else if e.reason == endDone && !e.lapsed {
 			w.Checker.RecordAcknowledgement(w.ID, e.task, e.attempt)
@@ -433,6 +437,8 @@
 		task:    t,
 		attempt: run.attempt,
 		reason:  reason,
+
+		checkpoint: run.plan.Checkpoint,
 	})
 	w.Checker.RecordEnd(w.ID, t, run.attempt, reason == endDone)
 	close(w.changed)
