Write the other rows when the store rejects one for good

A transaction of progress that the store rejects was repeated unchanged, with all rows in it, for ever. Now it is repeated row by row. A row that is rejected alone is logged once with its size and limit, counted, and held back for 0.8 s at a time. After the length of a lease its job is ended as failed: no end of its tasks can be recorded, and the workers would list them for ever. A leader that still has its lease by then has written other rows to the same part, so that it isn't the store that rejects everything.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -60,6 +60,8 @@
 	// A write whose answer was lost may be applied seconds later; the expected version
 	// keeps it from overwriting a later write.
 	versions map[string]int64
+	// rejections has the rows that the store rejects.
+	rejections rejections
 	// repeats limits the log lines about checkpoints that can't be stored.
 	repeats jsonlog.Repeats
 
@@ -88,10 +90,11 @@
 		fleet: f,
 		nodes: map[string]*nodeLink{},
 
-		versions: map[string]int64{},
-		lease:    ls,
-		wake:     make(chan struct{}, 1),
-		flush:    make(chan struct{}, 1),
+		versions:   map[string]int64{},
+		rejections: rejections{rows: map[string]rejection{}},
+		lease:      ls,
+		wake:       make(chan struct{}, 1),
+		flush:      make(chan struct{}, 1),
 
 		committing: make(chan struct{}, 1),
 	}
--- a/coordinator/progress.go
+++ b/coordinator/progress.go
@@ -64,10 +64,7 @@
 	defer func() { <-l.committing }()
 
 	l.mu.Lock()
-	b, err := l.fleet.Changes(fleet.BatchLimits{
-		Rows:  batchRows,
-		Bytes: batchBytes,
-	})
+	b, err := l.fleet.Changes(l.rejections.limits(l.c.now()))
 
 	for _, u := range l.fleet.UnstoredCheckpoints() {
 		l.repeats.Log(l.c.log, zap.WarnLevel, "CheckpointNotStored", "too large", zap.String("Job", u.Job),
@@ -98,10 +95,13 @@
 
 	if err != nil {
 		l.fleet.Requeue(b)
+		l.handleRejection(b, err)
 
 		return true, err
 	}
 
+	l.rejections.committed(b)
+
 	for _, n := range l.fleet.Committed(b) {
 		if link := l.nodes[n.Node]; link != nil {
 			link.send(&peerpb.Frame{Body: &peerpb.Frame_Recorded{Recorded: &peerpb.Recorded{
--- a/core/fleet/progress.go
+++ b/core/fleet/progress.go
@@ -52,6 +52,8 @@
 	// Rows is the largest number of rows, and Bytes that of the sum of their values. One row
 	// may be larger.
 	Rows, Bytes int
+	// Held reports whether a row is not to be written now.
+	Held func(key string) bool
 }
 
 // Batch is a set of changes to be stored in one transaction.
@@ -119,6 +121,10 @@
 
 	for _, n := range j.dirtyRows() {
 		key := n.key(j.record.ID)
+		if l.Held != nil && l.Held(key) {
+			continue
+		}
+
 		value, err := f.encodeRow(j, n)
 		if err != nil {
 			return false, err
@@ -209,3 +215,15 @@
 
 // Final returns the states of the jobs of a batch that are over, by ID.
 func (b Batch) Final() map[string]job.State { return b.final }
+
+// Fail ends a job whose progress can't be stored. It returns false if the job is unknown or over.
+func (f *Fleet) Fail(id string) bool {
+	j := f.jobs[id]
+	if j == nil || j.state.Final() {
+		return false
+	}
+
+	f.finishJob(j, job.Failed)
+
+	return true
+}
--- a/core/fleet/progress_test.go
+++ b/core/fleet/progress_test.go
@@ -252,3 +252,28 @@
 	f.Report(0, "n1", described("n1"))
 	assert.Equal(t, starts(f.Schedule(time.Second, time.Time{}))["n1"][0].Checkpoint, e.Checkpoint, "this leader has it")
 }
+
+// TestHeldRow checks that a row that is held doesn't keep the others from being stored, and that no
+// end is acknowledged before it is.
+func TestHeldRow(t *testing.T) {
+	f := New(1)
+	f.Report(0, "n1", described("n1"))
+
+	for i, id := range []string{jobA, jobB} {
+		f.Add(0, 0, record(id, step(1)))
+		f.Report(0, "n1", Report{Ends: []gate.EndEvent{end("n1", int64(i+1), id, 1, gate.Done)}})
+	}
+
+	limits := testLimits
+	limits.Held = func(key string) bool { return key == jobA }
+	b, err := f.Changes(limits)
+	assert.NilError(t, err)
+	assert.Equal(t, len(b.Rows), 1)
+	assert.Equal(t, b.Rows[0].Key, jobB)
+	assert.Equal(t, len(f.Committed(b)), 0)
+
+	b, err = f.Changes(testLimits)
+	assert.NilError(t, err)
+	assert.Equal(t, b.Rows[0].Key, jobA)
+	assert.Equal(t, len(f.Committed(b)), 1)
+}
