Queue the starts of a worker, and keep connections for listings and stops

With 3,000 starts at once on a worker that answers in 10 ms, calls waited longer than their timeout for one of 12 connections. They counted as unanswered: the fencing token rose, which fenced off the starts in flight, and listings, which extend the leases, waited behind them.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -343,17 +343,17 @@
 	return g.Token, g.ExtendLease(now)
 }
 
-// maxSendDelay is the time after its reservation in which a start may be sent. A process that
-// was paused in between knows neither whether the worker has restarted nor whether the leader
-// has given the start up.
+// maxSendDelay is the time in which this process may have been paused before it sends a start. After
+// a longer pause, it knows neither whether the worker has restarted nor whether the leader has given
+// the start up.
 const maxSendDelay = time.Second
 
-// MaySend reports whether a start that was reserved at a time may still be sent: its run is
-// neither forgotten nor in doubt.
-func (g *Gate) MaySend(reserved, now time.Duration, o StartOrder) bool {
+// MaySend reports whether a start that was reserved may still be sent: its run is neither forgotten
+// nor in doubt, and since a time at which this process ran, it has not paused for long.
+func (g *Gate) MaySend(since, now time.Duration, o StartOrder) bool {
 	e := g.Runs[o.Task]
 
-	return e != nil && e.Attempt == o.Attempt && e.Phase == Ordered && now-reserved <= maxSendDelay
+	return e != nil && e.Attempt == o.Attempt && e.Phase == Ordered && now-since <= maxSendDelay
 }
 
 // Adopt sets the order of a run that was found on the worker, and so its size. A run
--- /dev/null
+++ b/sidecar/many_starts_test.go
@@ -0,0 +1,141 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoildeck/core/fleet"
+	"trefoildeck/core/gate"
+	"trefoildeck/core/job"
+	"trefoildeck/io/boottime"
+	"trefoildeck/io/peer"
+	"trefoildeck/io/peer/peerpb"
+	"trefoildeck/standin/emulator"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestManyStarts checks that a worker that is sent some thousand starts at once leaves none of them
+// unanswered, and that its leases are extended and a run is stopped meanwhile. Calls waited for
+// a connection longer than for their answers, and all starts in flight were fenced off for it.
+func TestManyStarts(t *testing.T) {
+	t.Parallel()
+
+	const (
+		count       = 3000
+		answerAfter = 10 * time.Millisecond
+	)
+
+	w, a := startWorker("i-1", time.Second)
+	w.Checker = emulator.NewChecker()
+	w.PlanRun = func(job.TaskID, int) emulator.RunPlan { return emulator.RunPlan{Duration: time.Minute} }
+	w.Capacity = job.Size{MilliCores: count}
+
+	var (
+		mu       sync.Mutex
+		starts   int
+		listings []time.Time
+		stopped  = make(chan time.Time, 1)
+	)
+
+	server := httptest.NewServer(http.HandlerFunc(func(a http.ResponseWriter, r *http.Request) {
+		time.Sleep(answerAfter)
+		w.ServeHTTP(a, r)
+
+		mu.Lock()
+		defer mu.Unlock()
+
+		switch r.URL.Path {
+		case "/trefoildeck/run-start":
+			starts++
+		case "/trefoildeck/hold":
+			listings = append(listings, time.Now())
+		case "/trefoildeck/run-stop":
+			stopped <- time.Now()
+		}
+	}))
+	defer server.Close()
+
+	s := newTestSidecar(t, server)
+	a.Capacity = w.Capacity
+	s.handleAnnouncement(a)
+
+	for !s.gate.Synced {
+		s.listOnce(t.Context())
+	}
+
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+
+	go func() {
+		defer close(done)
+
+		assert.Check(t, s.listLoop(ctx))
+	}()
+
+	o := &fleet.Orders{Incarnation: a.Incarnation}
+	for i := range count {
+		o.Starts = append(o.Starts, gate.StartOrder{
+			Task: job.TaskID{
+				Job:   "00000000000000aa",
+				Index: i,
+			},
+			Attempt: 1,
+			Size:    job.Size{MilliCores: 1},
+		})
+	}
+
+	s.mu.Lock()
+	s.gate.Authorize(boottime.Now())
+	token := s.gate.Token
+	began := time.Now()
+
+	for _, m := range peer.EncodeOrders(o) {
+		s.handleOrders(m)
+	}
+
+	s.handleOrders(&peerpb.Orders{
+		WorkerID: a.ID,
+		Born:     a.Born,
+		Stops: []*peerpb.StopOrder{{
+			Task:    "00000000000000bb.0.0.0",
+			Attempt: 1,
+		}},
+	})
+	s.mu.Unlock()
+
+	at := <-stopped
+	assert.Check(t, at.Sub(began) < 400*time.Millisecond, "the stop took %s", at.Sub(began))
+
+	time.Sleep(4 * time.Second)
+	s.mu.Lock()
+	answering := s.gate.Answering
+	s.mu.Unlock()
+	cancel()
+	<-done
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	assert.Equal(t, s.gate.Token, token, "a start was fenced off")
+	assert.Assert(t, answering)
+
+	for _, r := range s.gate.Runs {
+		assert.Assert(t, r.Phase == gate.Confirmed)
+	}
+
+	mu.Lock()
+	defer mu.Unlock()
+
+	t.Logf("%d starts, %d runs", starts, len(s.gate.Runs))
+
+	last := began
+	for _, l := range listings {
+		assert.Check(t, l.Sub(last) < maxListWait+400*time.Millisecond, "no listing for %s", l.Sub(last))
+		last = l
+	}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -74,6 +74,12 @@
 	reported map[job.TaskID]string
 	// stopping has the stop orders that are being carried out.
 	stopping map[stopOrder]bool
+	// starts has the starts that wait to be sent, and starting is the number of goroutines that
+	// send them.
+	starts   gate.StartQueue
+	starting int
+	// stopSlots has an element for each stop under way.
+	stopSlots chan struct{}
 
 	// unansweredAt is when a call to the worker last went unanswered, 0 if none did.
 	unansweredAt time.Duration
@@ -106,6 +112,7 @@
 		pings:     map[uint64]time.Duration{},
 		reported:  map[job.TaskID]string{},
 		stopping:  map[stopOrder]bool{},
+		stopSlots: make(chan struct{}, platform.MaxConcurrentStops),
 		listNow:   make(chan struct{}, 1),
 		announced: make(chan struct{}, 1),
 
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -431,7 +431,19 @@
 		}
 
 		token, deadline := s.gate.Reserve(now, start)
-		go s.start(now, s.gate.Worker.ID, token, deadline, start)
+		s.starts.Push(gate.QueuedStart{
+			Reserved: now,
+			WorkerID: s.gate.Worker.ID,
+			Token:    token,
+			Deadline: deadline,
+			Order:    start,
+		})
+
+		if s.starting < platform.MaxConcurrentStarts {
+			s.starting++
+
+			go s.sendStarts()
+		}
 	}
 
 	if len(refused) > 0 {
@@ -440,24 +452,50 @@
 	}
 }
 
-// start sends a start that was reserved at a local time, unless it was held up until it may no
-// longer be sent.
-func (s *Sidecar) start(reserved time.Duration, id string, token int64, deadline time.Duration, o gate.StartOrder) {
-	s.mu.Lock()
-	held := !s.gate.MaySend(reserved, boottime.Now(), o)
+// sendStarts sends queued starts one after the other until there are none.
+func (s *Sidecar) sendStarts() {
+	for {
+		q, ok := s.nextStart()
+		if !ok {
+			return
+		}
 
-	if held {
-		s.log.Warn("StartHeldUp", zap.String("Job", o.Task.Job), zap.Stringer("Task", o.Task), zap.Int("Attempt", o.Attempt))
-		s.sendReport(s.gate.Reject(o.Task, o.Attempt))
+		s.start(q)
 	}
-	s.mu.Unlock()
+}
 
-	if held {
-		return
+// nextStart returns the next start that may still be sent. If there is none, it returns false and
+// gives up the place of a sender.
+func (s *Sidecar) nextStart() (gate.QueuedStart, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for {
+		now := boottime.Now()
+
+		q, since, ok := s.starts.Pop(now)
+		if !ok {
+			s.starting--
+
+			return gate.QueuedStart{}, false
+		}
+
+		o := q.Order
+		if s.gate.MaySend(since, now, o) {
+			return q, true
+		}
+
+		s.repeats.Log(s.log, zap.WarnLevel, "StartHeldUp", "not sent in time", zap.String("Job", o.Task.Job),
+			zap.Stringer("Task", o.Task), zap.Int("Attempt", o.Attempt), zap.Duration("Age", now-q.Reserved))
+		s.sendReport(s.gate.Reject(o.Task, o.Attempt))
 	}
+}
 
+// start sends a start.
+func (s *Sidecar) start(q gate.QueuedStart) {
+	id, o := q.WorkerID, q.Order
 	began := time.Now()
-	err := s.worker.Start(context.Background(), id, token, deadline, o)
+	err := s.worker.Start(context.Background(), id, q.Token, q.Deadline, o)
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -519,7 +557,12 @@
 // stop orders the end of a run until the worker has carried it out or it is no longer needed.
 func (s *Sidecar) stop(o stopOrder, token int64) {
 	for range maxStopTries {
+		s.stopSlots <- struct{}{}
+
 		err := s.worker.Stop(context.Background(), o.worker, token, o.task, o.attempt)
+
+		<-s.stopSlots
+
 		carriedOut := err == nil || (errors.Is(err, platform.ErrRejected) && !errors.Is(err, platform.ErrUnavailable))
 
 		if carriedOut {
