Judge workers by tasks that are at work, too

Cause: only an end "done" counted as a success, and a long-running task has none.

Now a run that is known to run and has been at work for 3 s counts as a success: failures before it no longer add up with later ones, and as a probe it ends the quarantine. A long-running task may be the probe from 2 s after the quarantine on.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -177,6 +177,7 @@
 func (f *Fleet) Schedule(now time.Duration, wall time.Time) map[string]*Orders {
 	f.wall, f.nextStart = wall, time.Time{}
 	f.expireRuns(now)
+	f.judgeProbes(now)
 
 	blocked := f.awaitsReports(now)
 	f.sortOpen(now)
@@ -250,7 +251,10 @@
 			earlier(w.lastContact + MaxLeaseTime)
 		}
 
-		earlier(w.quarantinedUntil)
+		for _, t := range w.nextHealthChange() {
+			earlier(t)
+		}
+
 		earlier(w.refusals.until)
 	}
 
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -65,8 +65,9 @@
 	stopOrdered bool
 	// stalled means that the run makes no progress although its pace allows it.
 	stalled bool
-	// probes means that the run probes its worker after a quarantine.
-	probes bool
+	// probes means that the run probes its worker after a quarantine, and confirmed that the
+	// worker is known to run it.
+	probes, confirmed bool
 }
 
 func (w *workerInfo) addRun(now time.Duration, id job.TaskID, attempt int, s *job.Step) {
@@ -229,6 +230,7 @@
 	}
 
 	r := w.runs[g.Task]
+	r.confirmed = r.confirmed || g.Confirmed
 	w.confirmStart(r)
 	r.readAt = now
 	r.latencyMillis = g.Measurement
