Order a stop again whose run has not ended

A stop of a stalled or slow run, or of the members of an incomplete gang, was ordered once. If the session ended before the order arrived, the run was never stopped: it stayed stalled, and its gang waited for it for ever. Now the stop is ordered again after 3 s while the run is there.

--- a/core/fleet/gang.go
+++ b/core/fleet/gang.go
@@ -14,7 +14,7 @@
 
 	if s.waiting < len(s.tasks) {
 		// Members of the last attempt are still active.
-		f.stopGang(j, i)
+		f.stopGang(now, j, i)
 
 		return
 	}
@@ -64,8 +64,8 @@
 	}
 }
 
-// stopGang stops the active members of an incomplete gang, each once.
-func (f *Fleet) stopGang(j *jobInfo, i int) {
+// stopGang stops the active members of an incomplete gang.
+func (f *Fleet) stopGang(now time.Duration, j *jobInfo, i int) {
 	s := &j.steps[i]
 
 	for k := range s.tasks {
@@ -75,8 +75,8 @@
 		}
 
 		id := j.taskID(i, k)
-		if r := t.worker.runs[id]; r != nil && !r.stopOrdered && t.worker.connected {
-			r.stopOrdered = true
+		if r := t.worker.runs[id]; r != nil && now >= r.stopAwaitedUntil && t.worker.connected {
+			r.stopAwaitedUntil = now + stopRepeatDelay
 			f.orderStop(t.worker, id, t.attempt)
 		}
 	}
--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -20,6 +20,9 @@
 	// maxLostPercent is the progress up to which a run without checkpoints is moved.
 	// Beyond it, waiting costs less than repeating the work.
 	maxLostPercent = 30
+	// stopRepeatDelay is the time after which a stop is ordered again if its run has not ended. A
+	// stop takes 0.9 s at most.
+	stopRepeatDelay = 3 * time.Second
 )
 
 // updatePace records the pace of a run in percent.
@@ -80,7 +83,7 @@
 // moveStalled stops the stalled runs of a worker that could run elsewhere.
 func (f *Fleet) moveStalled(now time.Duration, w *workerInfo) {
 	for id, r := range w.runs {
-		if r.stalled && !r.stopOrdered {
+		if r.stalled && now >= r.stopAwaitedUntil {
 			f.moveRun(now, w, id, r)
 		}
 	}
@@ -93,7 +96,7 @@
 		return
 	}
 
-	r.stopOrdered = true
+	r.stopAwaitedUntil = now + stopRepeatDelay
 	w.movedAt = now
 	t.avoidNode = w.node
 	f.orderStop(w, id, r.attempt)
@@ -107,7 +110,7 @@
 	)
 
 	for t, r := range w.runs {
-		if r.slowSince == 0 || r.stopOrdered || now < r.slowSince+maxSlowTime || (!r.step.Checkpointing && r.progressPercent > maxLostPercent) {
+		if r.slowSince == 0 || now < r.stopAwaitedUntil || now < r.slowSince+maxSlowTime || (!r.step.Checkpointing && r.progressPercent > maxLostPercent) {
 			continue
 		}
 
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -60,9 +60,9 @@
 	readAt        time.Duration
 	started       time.Duration
 	// slowSince is the time since which the pace has been at most slowPacePercent, or
-	// 0. stopOrdered means that a stop was ordered, for a move or an incomplete gang.
-	slowSince   time.Duration
-	stopOrdered bool
+	// 0. stopAwaitedUntil is how long the end of the run is awaited after a stop for a move or an
+	// incomplete gang, 0 if none was ordered. The order or the session may have been lost.
+	slowSince, stopAwaitedUntil time.Duration
 	// stalled means that the run makes no progress although its pace allows it.
 	stalled bool
 	// probes means that the run probes its worker after a quarantine, and confirmed that the
