Acknowledge ends while further changes are written

Ends were acknowledged only in the moment when no change was left to be written. While changes come faster than they are written, as with a slow store, there is no such moment, and a worker lists 500 ends only: the leader hears of no others.

Now changes that come while others are being written wait for the next round, and so do the ends that they belong to. Rounds end, whatever comes meanwhile.

TestAcknowledgedUnderLoad failed before: no end was acknowledged.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -109,8 +109,13 @@
 	wall      time.Time
 	nextStart time.Time
 
-	changed     map[string]*jobInfo
-	endMarks    map[string]endMark
+	// changed has the jobs with changes that are to be written before the ends of endMarks may
+	// be acknowledged, and laterChanged those that changed while they are being written, with
+	// their laterMarks. Ends would not be acknowledged while changes come faster than they can
+	// be written, if all had to be written.
+	changed, laterChanged map[string]*jobInfo
+	endMarks, laterMarks  map[string]endMark
+
 	quarantines []Quarantine
 	stalls      []Stall
 	losses      []Loss
@@ -136,8 +141,11 @@
 		rejected:   rejectedSizes{},
 		orders:     map[string]*Orders{},
 		unreported: map[string]bool{},
-		changed:    map[string]*jobInfo{},
-		endMarks:   map[string]endMark{},
+
+		changed:      map[string]*jobInfo{},
+		laterChanged: map[string]*jobInfo{},
+		endMarks:     map[string]endMark{},
+		laterMarks:   map[string]endMark{},
 
 		Interference: interference.NewPool(),
 	}
--- a/core/fleet/progress.go
+++ b/core/fleet/progress.go
@@ -42,7 +42,7 @@
 	for n := range j.stored {
 		if n != head {
 			j.dirty[n] = true
-			f.changed[j.record.ID] = j
+			f.laterChanged[j.record.ID] = j
 		}
 	}
 }
@@ -88,28 +88,49 @@
 		endMarks: map[string]endMark{},
 	}
 
-	for id, j := range f.changed {
-		full, err := f.takeRows(&b, j, l)
+	if len(f.changed) == 0 {
+		f.changed, f.laterChanged = f.laterChanged, f.changed
+		mergeMarks(f.laterMarks, f.endMarks)
+		f.endMarks, f.laterMarks = f.laterMarks, map[string]endMark{}
+	}
+
+	full, err := f.takeChanges(&b, f.changed, l)
+	if err == nil && !full {
+		_, err = f.takeChanges(&b, f.laterChanged, l)
+	}
+
+	if err != nil {
+		return Batch{}, err
+	}
+
+	if len(f.changed) == 0 {
+		// All these ends are in this batch or an earlier one. Before that, a worker must not
+		// forget an end whose job is still to be stored.
+		b.endMarks, f.endMarks = f.endMarks, b.endMarks
+	}
+
+	return b, nil
+}
+
+// takeChanges moves the changes of jobs to a batch. It returns true if the batch has no room for
+// one of them.
+func (f *Fleet) takeChanges(b *Batch, changed map[string]*jobInfo, l BatchLimits) (bool, error) {
+	for id, j := range changed {
+		full, err := f.takeRows(b, j, l)
 		if err != nil {
-			return Batch{}, err
+			return false, err
 		}
 
 		if len(j.dirty) == 0 {
-			delete(f.changed, id)
+			delete(changed, id)
 		}
 
 		if full {
-			break
+			return true, nil
 		}
 	}
 
-	if len(f.changed) == 0 {
-		// All ends so far are in this batch or an earlier one. Before that, a worker
-		// must not forget an end whose job is still to be stored.
-		b.endMarks, f.endMarks = f.endMarks, b.endMarks
-	}
-
-	return b, nil
+	return false, nil
 }
 
 // takeRows moves the changed rows of a job to a batch. It returns true if the batch has no room
@@ -201,17 +222,25 @@
 		f.changed[n.job.record.ID] = n.job
 	}
 
-	for node, r := range b.endMarks {
-		if n := f.endMarks[node]; n.incarnation != r.incarnation && n.number > 0 {
+	mergeMarks(f.endMarks, b.endMarks)
+}
+
+// mergeMarks adds the marks in from that are later than those of their nodes. Of another
+// incarnation, those that are there are the later ones.
+func mergeMarks(marks, from map[string]endMark) {
+	for node, r := range from {
+		if n := marks[node]; n.incarnation != r.incarnation && n.number > 0 {
 			continue
 		} else if n.number < r.number {
-			f.endMarks[node] = r
+			marks[node] = r
 		}
 	}
 }
 
 // Changed reports whether there are changes to be stored.
-func (f *Fleet) Changed() bool { return len(f.changed) > 0 || len(f.endMarks) > 0 }
+func (f *Fleet) Changed() bool {
+	return len(f.changed)+len(f.laterChanged)+len(f.endMarks)+len(f.laterMarks) > 0
+}
 
 // Final returns the states of the jobs of a batch that are over, by ID.
 func (b Batch) Final() map[string]job.State { return b.final }
--- a/core/fleet/progress_rows.go
+++ b/core/fleet/progress_rows.go
@@ -140,7 +140,7 @@
 
 // markChanged marks the rows that depend on a task as to be written.
 func (f *Fleet) markChanged(j *jobInfo, s *stepInfo, index int) {
-	f.changed[j.record.ID] = j
+	f.laterChanged[j.record.ID] = j
 
 	if s.spec.Gang {
 		// The end of one member may change all of them.
@@ -169,7 +169,7 @@
 
 // markFinished marks the head as to be written, and the other rows as to be removed.
 func (f *Fleet) markFinished(j *jobInfo) {
-	f.changed[j.record.ID] = j
+	f.laterChanged[j.record.ID] = j
 	clear(j.dirty)
 	maps.Copy(j.dirty, j.stored)
 	j.dirty[head] = true
--- a/core/fleet/progress_test.go
+++ b/core/fleet/progress_test.go
@@ -277,3 +277,38 @@
 	assert.Equal(t, b.Rows[0].Key, jobA)
 	assert.Equal(t, len(f.Committed(b)), 1)
 }
+
+// TestAcknowledgedUnderLoad checks that ends are acknowledged while further changes come faster than
+// they are written. None was until all changes had been written, and a worker lists 500 ends only.
+func TestAcknowledgedUnderLoad(t *testing.T) {
+	f := New(1)
+	f.Report(0, "n1", described("n1"))
+
+	limits := testLimits
+	limits.Rows = 1
+
+	var acknowledged int64
+
+	for i := range 20 {
+		for k := range 2 {
+			number := int64(2*i + k + 1)
+			id := fmt.Sprintf("%016x", number)
+			f.Add(0, 0, record(id, step(1)))
+			f.Report(0, "n1", Report{Ends: []gate.EndEvent{end("n1", number, id, 1, gate.Done)}})
+		}
+
+		b, err := f.Changes(limits)
+		assert.NilError(t, err)
+
+		for _, e := range f.Committed(b) {
+			acknowledged = e.Number
+		}
+
+		for id := int64(1); id <= acknowledged; id++ {
+			s, _ := f.State(fmt.Sprintf("%016x", id))
+			assert.Equal(t, s, job.Succeeded, "an end is acknowledged before it is stored")
+		}
+	}
+
+	assert.Assert(t, acknowledged > 0)
+}
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -188,13 +188,13 @@
 		return
 	}
 
-	n := f.endMarks[w.node]
+	n := f.laterMarks[w.node]
 	if n.incarnation != e.Incarnation {
 		n = endMark{incarnation: e.Incarnation}
 	}
 
 	n.number = max(n.number, e.Number)
-	f.endMarks[w.node] = n
+	f.laterMarks[w.node] = n
 }
 
 // updateRun processes a run that a worker lists. It stops the run if its job is unknown
