Tell a long task from a stalled one

Cause: a run counted as stalled when its listed percentage had not changed for 1.5 s, but workers list whole percents, and one of these takes 3 s here. Stalls count as failures of the worker, so that all of them came into quarantine.

Now the time grows with the step's estimate, which orders carry, and with the slowest percent that the run took so far. A task that has stalled on two workers stays where it is.

--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -330,3 +330,45 @@
 	assert.Equal(t, len(starts(f.Schedule(time.Second, time.Time{}))["n2"]), 3)
 	assert.Equal(t, len(f.jobs[jobA].steps[0].tasks[0].failures), 0)
 }
+
+// TestAlwaysStalled checks that a task that stalls wherever it runs stays where it is after some
+// moves, and doesn't bring its workers into quarantine. A long task whose estimate is far too short
+// was stopped and started for ever.
+func TestAlwaysStalled(t *testing.T) {
+	f := New(1)
+	f.Report(0, "n1", described("n1"))
+	f.Report(0, "n2", described("n2"))
+	f.Add(0, 0, record(jobA, step(1)))
+
+	var now time.Duration
+
+	for i := range maxStalls + 1 {
+		var node string
+		for n := range starts(f.Schedule(now, time.Time{})) {
+			node = n
+		}
+
+		assert.Assert(t, node != "")
+
+		now += time.Second
+		f.Report(now, node, Report{Runs: []gate.Run{{
+			Task:       job.TaskID{Job: jobA},
+			Attempt:    i + 1,
+			OrderKnown: true,
+			Confirmed:  true,
+			Stalled:    true,
+		}}})
+
+		moves := 1
+		if i == maxStalls {
+			moves = 0
+		}
+
+		assert.Equal(t, stops(f.Schedule(now, time.Time{})), moves)
+		assert.Equal(t, len(f.Stalls()), moves)
+
+		if moves == 1 {
+			f.RecordEnd(now, node, end(node, int64(i+1), jobA, i+1, gate.Stopped).End)
+		}
+	}
+}
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -38,6 +38,8 @@
 	notBefore time.Duration
 	// noteRow means that the note of the task has a row of its own.
 	noteRow bool
+	// stalls is the number of runs of the task that stalled in this term.
+	stalls int
 }
 
 // stepInfo is the state of one occurrence of a step.
--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -20,6 +20,9 @@
 	// maxLostPercent is the progress up to which a run without checkpoints is moved.
 	// Beyond it, waiting costs less than repeating the work.
 	maxLostPercent = 30
+	// maxStalls is the number of stalled runs of a task that are put down to their workers. After
+	// them the task is slow itself, or its estimate far too short, and it stays where it is.
+	maxStalls = 2
 	// stopRepeatDelay is the time after which a stop is ordered again if its run has not ended. A
 	// stop takes 0.9 s at most.
 	stopRepeatDelay = 3 * time.Second
@@ -39,7 +42,14 @@
 // recordStall records that a run makes no progress. It counts as a failure for the
 // worker's health, since a worker on which several jobs stall is as bad as one on which
 // they fail. It does not count as a failed attempt of the task, which is not at fault.
-func (f *Fleet) recordStall(now time.Duration, w *workerInfo, id job.TaskID) {
+func (f *Fleet) recordStall(now time.Duration, w *workerInfo, r *run, t *taskInfo, id job.TaskID) {
+	if t.stalls >= maxStalls {
+		return
+	}
+
+	t.stalls++
+	r.stalled = true
+
 	f.updateHealth(now, w.node, gate.End{
 		Task:   id,
 		Reason: gate.Failed,
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -301,5 +301,6 @@
 		Fills:      s.spec.Fills,
 		Target:     s.spec.TargetLatency,
 		Image:      s.spec.Image,
+		Estimate:   s.spec.Estimate,
 	}
 }
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -238,8 +238,7 @@
 	r.updatePace(now, g.PacePercent)
 
 	if g.Stalled && !r.stalled {
-		r.stalled = true
-		f.recordStall(now, w, g.Task)
+		f.recordStall(now, w, r, t, g.Task)
 	}
 }
 
--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -55,8 +55,9 @@
 	token int64
 	// confirmedAt is when the gate learned that the worker runs the attempt.
 	confirmedAt time.Duration
-	// progressedAt is when the listed progress last changed.
-	progressedAt time.Duration
+	// progressedAt is when the listed progress last changed, and slowestPercent the longest time
+	// that it took for one percent.
+	progressedAt, slowestPercent time.Duration
 	// overTargetSince is when a serving task's latency rose above its target, 0 if
 	// it is not above it. Until distrustedUntil, the learned interference factors of
 	// its image count as at least interference.PriorFactor.
@@ -252,9 +253,13 @@
 }
 
 const (
-	// stallTimeout is the time without progress after which a run has stalled: one
-	// percent of the longest tasks takes 55 ms, and 0.4 s on the slowest workers.
-	stallTimeout = 1500 * time.Millisecond
+	// stallTimeout is the least time without progress after which a run has stalled. Workers list
+	// whole percents, so that a long task needs longer: stallEstimatedPercents times one percent
+	// of its estimated run time, since estimates are rough and workers up to eight times slower,
+	// and stallPercents times the slowest percent so far.
+	stallTimeout           = 1500 * time.Millisecond
+	stallEstimatedPercents = 20
+	stallPercents          = 3
 	// minStallPace is the lowest pace, in percent, at which a run can count as
 	// stalled: below it little progress is expected.
 	minStallPace = 50
@@ -263,7 +268,12 @@
 // Stalled reports whether a run makes no progress although its pace allows it.
 func (e *RunState) Stalled(now time.Duration) bool {
 	return e.Phase == Confirmed && e.OrderKnown && e.Order.Target == 0 && e.Run.ProgressPercent < fullPercent &&
-		e.PacePercent >= minStallPace && e.progressedAt > 0 && now-e.progressedAt > stallTimeout
+		e.PacePercent >= minStallPace && e.progressedAt > 0 && now-e.progressedAt > e.stallTimeout()
+}
+
+// stallTimeout returns the time without progress after which the run has stalled.
+func (e *RunState) stallTimeout() time.Duration {
+	return max(stallTimeout, stallEstimatedPercents*e.Order.Estimate/fullPercent, stallPercents*e.slowestPercent)
 }
 
 // Ready reports whether starts can be admitted as far as the worker is concerned: it is
@@ -532,7 +542,11 @@
 		return
 	}
 
-	if e.Phase != Confirmed || e.Run.ProgressPercent != r.ProgressPercent {
+	if n := r.ProgressPercent - e.Run.ProgressPercent; e.Phase != Confirmed || n != 0 {
+		if e.Phase == Confirmed && n > 0 {
+			e.slowestPercent = max(e.slowestPercent, (now-e.progressedAt)/time.Duration(n))
+		}
+
 		e.progressedAt = now
 	}
 
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -377,6 +377,11 @@
 		"Throttled":  {func(e *RunState) { e.PacePercent = 0 }, 40, 2 * stallTimeout, false},
 		"Serves":     {func(e *RunState) { e.Order.Target = time.Second }, 40, 2 * stallTimeout, false},
 		"AtWork":     {func(e *RunState) { e.Run.ProgressPercent = 100 }, 100, 2 * stallTimeout, false},
+		// One percent takes 3 s. Sound runs of long tasks counted as stalled, and were stopped.
+		"Long":        {func(e *RunState) { e.Order.Estimate = 300 * time.Second }, 40, 2 * stallTimeout, false},
+		"LongStalled": {func(e *RunState) { e.Order.Estimate = 300 * time.Second }, 40, 70 * time.Second, true},
+		"Slow":        {func(e *RunState) { e.slowestPercent = 3 * time.Second }, 40, 2 * stallTimeout, false},
+		"SlowStalled": {func(e *RunState) { e.slowestPercent = 3 * time.Second }, 40, 10 * time.Second, true},
 	}
 
 	for name, c := range tests {
--- a/core/gate/types.go
+++ b/core/gate/types.go
@@ -157,4 +157,6 @@
 	Target time.Duration
 	// Image is the name of the program image that the task runs.
 	Image string
+	// Estimate is the approximate run time of the task at full speed, 0 if unknown.
+	Estimate time.Duration
 }
--- a/io/peer/orders.go
+++ b/io/peer/orders.go
@@ -87,6 +87,7 @@
 		Size:       encodeSize(o.Size),
 		Fills:      o.Fills,
 		TargetMS:   o.Target.Milliseconds(),
+		EstimateMS: o.Estimate.Milliseconds(),
 	}
 	size := itemSize(proto.Size(order) + 2*maxNumberBytes)
 
@@ -179,6 +180,7 @@
 			Size:       decodeSize(s.GetSize()),
 			Fills:      s.GetFills(),
 			Target:     time.Duration(s.GetTargetMS()) * time.Millisecond,
+			Estimate:   time.Duration(s.GetEstimateMS()) * time.Millisecond,
 			Image:      image,
 		})
 	}
--- a/io/peer/orders_test.go
+++ b/io/peer/orders_test.go
@@ -76,6 +76,7 @@
 					Index: i,
 				}
 				s.Attempt = 1
+				s.Estimate = time.Second
 				o.Starts = append(o.Starts, s)
 				o.Stops = append(o.Stops, fleet.Stop{
 					Task:    s.Task,
