Send resources to entries and agents in messages that fit into a frame

A session begins with all resources, for an agent all configurations. Above 1 MB together, they ended each session; since frames above the limit are not sent, they would have been missing without a word. They are packed into several messages now, and a resource that no message holds is logged (ResourcesNotSent).

TestNewsFits: its 300 configurations took one message of 19 MB before.

--- a/entry/feed.go
+++ b/entry/feed.go
@@ -241,8 +241,13 @@
 	}
 
 	for _, s := range sessions {
-		// A session that fails is sent all resources when it is opened again.
-		_ = s.Send(&peerpb.Frame{Body: &peerpb.Frame_News{News: news}})
+		for _, n := range news {
+			// A session that fails is sent all resources when it is opened again.
+			err := s.Send(&peerpb.Frame{Body: &peerpb.Frame_News{News: n}})
+			if errors.Is(err, peer.ErrFrameTooLarge) {
+				e.log.Error("ResourcesNotSent", zap.Error(err))
+			}
+		}
 	}
 }
 
--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -8,6 +8,8 @@
 	"trefoildeck/core/placement"
 	"trefoildeck/core/resource"
 	"trefoildeck/io/peer/peerpb"
+
+	"google.golang.org/protobuf/proto"
 )
 
 // Roles of a Hello. Sidecars have the role of an agent, coordinators that of an
@@ -40,9 +42,12 @@
 	}
 }
 
-// EncodeNews encodes resources as a News message.
-func EncodeNews(list []resource.Resource) (*peerpb.News, error) {
-	n := &peerpb.News{}
+// EncodeNews encodes resources, as several messages if they don't fit into one.
+func EncodeNews(list []resource.Resource) ([]*peerpb.News, error) {
+	var (
+		messages []*peerpb.News
+		size     int
+	)
 
 	for _, r := range list {
 		m := &peerpb.Resource{
@@ -61,10 +66,18 @@
 			m.Spec = spec
 		}
 
-		n.Resources = append(n.Resources, m)
+		n := itemSize(proto.Size(m))
+		if size == 0 || size+n > maxPackedBytes {
+			messages = append(messages, &peerpb.News{})
+			size = 0
+		}
+
+		size += n
+		last := messages[len(messages)-1]
+		last.Resources = append(last.Resources, m)
 	}
 
-	return n, nil
+	return messages, nil
 }
 
 // DecodeNews decodes the resources of a News message.
--- a/io/peer/report_test.go
+++ b/io/peer/report_test.go
@@ -8,6 +8,7 @@
 	"trefoildeck/core/gate"
 	"trefoildeck/core/interference"
 	"trefoildeck/core/job"
+	"trefoildeck/core/resource"
 	"trefoildeck/io/peer/peerpb"
 
 	"google.golang.org/protobuf/proto"
@@ -120,3 +121,38 @@
 
 	assert.DeepEqual(t, received, estimates)
 }
+
+// TestNewsFits checks that all resources reach a peer, however large they are together: in one frame
+// above the limit, they ended each session, which began with them.
+func TestNewsFits(t *testing.T) {
+	var list []resource.Resource
+
+	for i := range 300 {
+		list = append(list, resource.Resource{
+			ID: resource.ID{
+				Kind: resource.KindConfiguration,
+				Name: fmt.Sprint(i),
+			},
+			Revision: int64(i + 1),
+			Spec:     &resource.Configuration{Values: map[string]string{"Text": strings.Repeat("x", 10*i*(i%90))}},
+			Deleted:  false,
+		})
+	}
+
+	messages, err := EncodeNews(list)
+	assert.NilError(t, err)
+
+	var received []resource.Resource
+
+	for _, m := range messages {
+		f := &peerpb.Frame{Body: &peerpb.Frame_News{News: m}}
+		assert.Assert(t, proto.Size(f) <= MaxFrame, "%d bytes", proto.Size(f))
+
+		part, err := DecodeNews(m)
+		assert.NilError(t, err)
+
+		received = append(received, part...)
+	}
+
+	assert.DeepEqual(t, received, list)
+}
