Take a queued start's token and lease when it is sent

A queued start had the token and the lease of its reservation: after one start had gone unanswered, which raises the token, the worker would have fenced off all that waited behind it. A queued start was also sent to a worker that had been found silent meanwhile, and without a leader.

Both are now decided when it is sent.

--- a/core/gate/gate.go
+++ b/core/gate/gate.go
@@ -346,10 +346,17 @@
 		Phase:       Ordered,
 		Order:       o,
 		OrderKnown:  true,
-		token:       g.Token,
 		PacePercent: 100,
 	}
 
+	return g.Issue(now, o)
+}
+
+// Issue returns the fencing token and the lease deadline to send with an order that was reserved
+// and not sent yet.
+func (g *Gate) Issue(now time.Duration, o StartOrder) (token int64, deadline time.Duration) {
+	g.Runs[o.Task].token = g.Token
+
 	return g.Token, g.ExtendLease(now)
 }
 
@@ -359,11 +366,13 @@
 const maxSendDelay = time.Second
 
 // MaySend reports whether a start that was reserved may still be sent: its run is neither forgotten
-// nor in doubt, and since a time at which this process ran, it has not paused for long.
+// nor in doubt, the worker answers, a leader is known to hold its lease, and since a time at which
+// this process ran, it has not paused for long.
 func (g *Gate) MaySend(since, now time.Duration, o StartOrder) bool {
 	e := g.Runs[o.Task]
 
-	return e != nil && e.Attempt == o.Attempt && e.Phase == Ordered && now-since <= maxSendDelay
+	return e != nil && e.Attempt == o.Attempt && e.Phase == Ordered && g.Answering && g.nextDeadline(now) > 0 &&
+		now-since <= maxSendDelay
 }
 
 // Adopt sets the order of a run that was found on the worker, and so its size. A run
--- a/core/gate/gate_test.go
+++ b/core/gate/gate_test.go
@@ -644,6 +644,8 @@
 		"Paused":    {func(*Gate) {}, 2 * time.Second, false},
 		"Restarted": {func(g *Gate) { g.HandleAnnouncement(0, announcement(2, 1)) }, 0, false},
 		"Forgotten": {func(g *Gate) { g.HandleUnanswered(2 * MaxLeaseExtension) }, 0, false},
+		"Silent":    {func(g *Gate) { g.HandleUnanswered(0) }, 0, false},
+		"NoLeader":  {func(g *Gate) { g.authorized = false }, 0, false},
 	}
 
 	for name, c := range tests {
--- a/core/gate/start_queue.go
+++ b/core/gate/start_queue.go
@@ -10,16 +10,11 @@
 // QueuedStart is a start that was reserved at a time.
 type QueuedStart struct {
 	Reserved time.Duration
-	// WorkerID, Token and Deadline are sent with the order.
-	WorkerID string
-	Token    int64
-	Deadline time.Duration
 	Order    StartOrder
 }
 
-// StartQueue has the starts that wait to be sent to the worker, which carries out few calls at a
-// time. It answers bursts of starts, of thousands at once, by a bound on those under way. It is not safe
-// for concurrent use.
+// StartQueue has the starts that wait to be sent to the worker, of which only some are sent at a
+// time. It answers bursts of thousands of starts. It is not safe for concurrent use.
 type StartQueue struct {
 	starts []QueuedStart
 	// ranAt is the last time at which this process is known to have run, and pausedUntil the end
--- a/core/gate/start_queue_test.go
+++ b/core/gate/start_queue_test.go
@@ -55,6 +55,8 @@
 
 			for i, sent := range c.sent {
 				now += c.pauses[i]
+				g.Authorize(now)
+
 				s, since, ok := q.Pop(now)
 				assert.Assert(t, ok)
 				assert.Equal(t, s.Order.Task.Index, i)
@@ -66,6 +68,8 @@
 
 			// A start that comes after a pause has not waited through it.
 			now += time.Hour
+			g.Authorize(now)
+
 			o := StartOrder{
 				Task:    job.TaskID{Job: "00000000000000bb"},
 				Attempt: 1,
@@ -81,3 +85,29 @@
 		})
 	}
 }
+
+// TestIssueAfterDoubt checks that a start that waited while another one went unanswered is sent with
+// the token that was raised for it: with the one of its reservation, the worker would fence it off.
+func TestIssueAfterDoubt(t *testing.T) {
+	g := syncedGate(t)
+	waiting := StartOrder{
+		Task:    job.TaskID{Job: "00000000000000bb"},
+		Attempt: 1,
+	}
+
+	before, _ := g.Reserve(0, StartOrder{
+		Task:    taskA,
+		Attempt: 1,
+	})
+	g.Reserve(0, waiting)
+	g.MarkInDoubt(taskA, 1)
+
+	token, _ := g.Issue(0, waiting)
+	assert.Assert(t, token > before)
+	assert.Equal(t, token, g.Token)
+
+	// A listing with that token doesn't end the run that is about to be sent.
+	g.list(time.Second, nil, nil)
+	assert.Assert(t, g.Runs[waiting.Task] != nil)
+	assert.Assert(t, g.Runs[taskA] == nil)
+}
--- a/sidecar/leave_test.go
+++ b/sidecar/leave_test.go
@@ -92,12 +92,11 @@
 	token, deadline := s.gate.Reserve(now, order)
 	s.mu.Unlock()
 
-	s.start(gate.QueuedStart{
-		Reserved: now,
-		WorkerID: "i-1",
-		Token:    token,
-		Deadline: deadline,
-		Order:    order,
+	s.start(issuedStart{
+		workerID: "i-1",
+		token:    token,
+		deadline: deadline,
+		order:    order,
 	})
 }
 
--- a/sidecar/lost_answer_test.go
+++ b/sidecar/lost_answer_test.go
@@ -77,12 +77,11 @@
 
 	assert.Equal(t, wait, maxListWait)
 
-	go s.start(gate.QueuedStart{
-		Reserved: began,
-		WorkerID: "i-1",
-		Token:    token,
-		Deadline: deadline,
-		Order:    o,
+	go s.start(issuedStart{
+		workerID: "i-1",
+		token:    token,
+		deadline: deadline,
+		order:    o,
 	})
 
 	s.listOnce(t.Context())
--- a/sidecar/many_starts_test.go
+++ b/sidecar/many_starts_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,7 +16,7 @@
 	"trefoildeck/io/boottime"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
-	"trefoildeck/standin/emulator"
+	"trefoildeck/platform"
 
 	"gotest.tools/v3/assert"
 )
@@ -31,8 +33,6 @@
 	)
 
 	w, a := startWorker("i-1", time.Second)
-	w.Checker = emulator.NewChecker()
-	w.PlanRun = func(job.TaskID, int) emulator.RunPlan { return emulator.RunPlan{Duration: time.Minute} }
 	w.Capacity = job.Size{MilliCores: count}
 
 	var (
@@ -139,3 +139,63 @@
 		last = l
 	}
 }
+
+// TestUnansweredAmongMany checks that a start that goes unanswered costs none of those that wait
+// behind it.
+func TestUnansweredAmongMany(t *testing.T) {
+	t.Parallel()
+
+	const (
+		count       = 1000
+		answerAfter = 5 * time.Millisecond
+	)
+
+	var starts atomic.Int64
+
+	s := listedSidecar(t, func(path string) bool {
+		if path != "run-start" {
+			return false
+		}
+
+		time.Sleep(answerAfter)
+
+		return starts.Add(1) == 1
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+
+	go func() { assert.Check(t, s.listLoop(ctx)) }()
+
+	s.mu.Lock()
+	s.gate.Authorize(boottime.Now())
+
+	m := &peerpb.Orders{
+		WorkerID: s.gate.Worker.ID,
+		Born:     s.gate.Worker.Born,
+	}
+	for i := range count {
+		m.Starts = append(m.Starts, &peerpb.StartOrder{
+			Task:    fmt.Sprintf("00000000000000aa.0.0.%d", i),
+			Attempt: 1,
+		})
+	}
+
+	s.handleOrders(m)
+	s.mu.Unlock()
+
+	time.Sleep(2 * time.Second)
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	confirmed := 0
+
+	for _, r := range s.gate.Runs {
+		if r.Phase == gate.Confirmed {
+			confirmed++
+		}
+	}
+
+	// Those that were in flight with it may be fenced off.
+	assert.Assert(t, confirmed >= count-platform.MaxConcurrentStarts, "%d", confirmed)
+}
--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -26,6 +26,13 @@
 	w := &emulator.Worker{
 		ID:         id,
 		ClockStart: clockStart,
+		Checker:    emulator.NewChecker(),
+		PlanRun: func(job.TaskID, int) emulator.RunPlan {
+			return emulator.RunPlan{
+				Duration:  time.Minute,
+				EndReason: "done",
+			}
+		},
 		LoseAnswer: func(string) (bool, time.Duration) { return false, 0 },
 	}
 	w.Start()
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -430,12 +430,9 @@
 			continue
 		}
 
-		token, deadline := s.gate.Reserve(now, start)
+		s.gate.Reserve(now, start)
 		s.starts.Push(gate.QueuedStart{
 			Reserved: now,
-			WorkerID: s.gate.Worker.ID,
-			Token:    token,
-			Deadline: deadline,
 			Order:    start,
 		})
 
@@ -455,18 +452,26 @@
 // sendStarts sends queued starts one after the other until there are none.
 func (s *Sidecar) sendStarts() {
 	for {
-		q, ok := s.nextStart()
+		start, ok := s.nextStart()
 		if !ok {
 			return
 		}
 
-		s.start(q)
+		s.start(start)
 	}
 }
 
+// issuedStart is a start that is about to be sent to a worker.
+type issuedStart struct {
+	workerID string
+	token    int64
+	deadline time.Duration
+	order    gate.StartOrder
+}
+
 // nextStart returns the next start that may still be sent. If there is none, it returns false and
 // gives up the place of a sender.
-func (s *Sidecar) nextStart() (gate.QueuedStart, bool) {
+func (s *Sidecar) nextStart() (issuedStart, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -477,12 +482,19 @@
 		if !ok {
 			s.starting--
 
-			return gate.QueuedStart{}, false
+			return issuedStart{}, false
 		}
 
 		o := q.Order
 		if s.gate.MaySend(since, now, o) {
-			return q, true
+			token, deadline := s.gate.Issue(now, o)
+
+			return issuedStart{
+				workerID: s.gate.Worker.ID,
+				token:    token,
+				deadline: deadline,
+				order:    o,
+			}, true
 		}
 
 		s.repeats.Log(s.log, zap.WarnLevel, "StartHeldUp", "not sent in time", zap.String("Job", o.Task.Job),
@@ -491,11 +503,10 @@
 	}
 }
 
-// start sends a start.
-func (s *Sidecar) start(q gate.QueuedStart) {
-	id, o := q.WorkerID, q.Order
+func (s *Sidecar) start(i issuedStart) {
+	id, o := i.workerID, i.order
 	began := time.Now()
-	err := s.worker.Start(context.Background(), id, q.Token, q.Deadline, o)
+	err := s.worker.Start(context.Background(), id, i.token, i.deadline, o)
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
