--- a/io/peer/orders.go
+++ b/io/peer/orders.go
@@ -18,6 +18,10 @@
 // room in a frame for one item that is larger, and for the fields beside the items.
 const maxPackedBytes = MaxFrame / 4
 
+// MaxCheckpointBytes is the longest checkpoint that a report may have. With it, an order that
+// carries it fits into a frame as well.
+const MaxCheckpointBytes = maxPackedBytes
+
 // itemSize returns the size, in bytes, that an item of n encoded bytes takes in a message.
 func itemSize(n int) int { return protowire.SizeTag(1) + protowire.SizeBytes(n) }
 
--- a/sidecar/malformed_test.go
+++ b/sidecar/malformed_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
+	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
 	"trefoildeck/settings"
 	"trefoildeck/standin/emulator"
@@ -118,3 +120,67 @@
 	r = <-reports
 	assert.Assert(t, r.GetFull() && r.GetReady())
 }
+
+// TestLongCheckpoints checks that a run with a checkpoint that no frame can have is reported without
+// it, and all others are. The listing was given up, and a report with the run ended the session: either
+// way, runs that went on were started elsewhere.
+func TestLongCheckpoints(t *testing.T) {
+	const (
+		runs       = 30
+		checkpoint = 200_000
+		long       = 2_000_000
+	)
+
+	var running []string
+	for i := range runs {
+		running = append(running, fmt.Sprintf(`["00000000000000aa.0.0.%d",1,"%s",40,0]`, i, strings.Repeat("c", checkpoint)))
+	}
+
+	running = append(running, fmt.Sprintf(`["00000000000000aa.0.0.%d",1,"%s",40,0]`, runs, strings.Repeat("c", long)))
+
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := fmt.Fprintf(w, `{"clock_ms":1000,"born":5,"running":[%s],"finished":[]}`, strings.Join(running, ","))
+		assert.Check(t, err)
+	}))
+	defer server.Close()
+
+	s := newTestSidecar(t, server)
+	s.handleAnnouncement(gate.Announcement{
+		Incarnation: gate.Incarnation{
+			ID:   "i-1",
+			Born: 5,
+		},
+		Sequence: 1,
+	})
+
+	for range 3 {
+		s.listOnce(t.Context())
+	}
+
+	assert.Assert(t, s.gate.Synced)
+
+	var (
+		joiner  peer.ReportJoiner
+		report  *peerpb.WorkerReport
+		reports = connectLeader(t, s, 1)
+	)
+
+	for report == nil {
+		report = joiner.Add(<-reports)
+	}
+
+	assert.Assert(t, report.GetFull())
+	assert.Equal(t, len(report.GetRuns()), runs+1)
+
+	dropped := 0
+
+	for _, r := range report.GetRuns() {
+		if r.GetCheckpoint() == "" {
+			dropped++
+		} else {
+			assert.Equal(t, len(r.GetCheckpoint()), checkpoint)
+		}
+	}
+
+	assert.Equal(t, dropped, 1)
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -88,10 +88,32 @@
 func (s *Sidecar) list(ctx context.Context, r listRequest) (gate.Listing, error) {
 	l, err := s.worker.ExtendLeases(ctx, r.worker.ID, r.token, r.deadline, r.acknowledged, r.wait)
 	s.meter.Count("listings_total", "answered", strconv.FormatBool(err == nil))
+	s.dropLongCheckpoints(l)
 
 	return l, err
 }
 
+// dropLongCheckpoints drops the checkpoints of a listing that no report can have. A report without
+// the run would say that it has ended.
+func (s *Sidecar) dropLongCheckpoints(l gate.Listing) {
+	drop := func(t job.TaskID, checkpoint *string) {
+		if n := len(*checkpoint); n > peer.MaxCheckpointBytes {
+			s.repeats.Log(s.log, zap.WarnLevel, "CheckpointDropped", "too long", zap.String("Job", t.Job), zap.Stringer("Task", t),
+				zap.Int("Bytes", n), zap.Int("Limit", peer.MaxCheckpointBytes))
+
+			*checkpoint = ""
+		}
+	}
+
+	for i := range l.Running {
+		drop(l.Running[i].Task, &l.Running[i].Checkpoint)
+	}
+
+	for i := range l.Ended {
+		drop(l.Ended[i].Task, &l.Ended[i].Checkpoint)
+	}
+}
+
 // readListing reads one listing and returns it with its request. A listing without an answer
 // is repeated once before the worker counts as silent: the answer may be lost.
 func (s *Sidecar) readListing(ctx context.Context) (listRequest, gate.Listing, error) {
