Report starts that are held up together

Each start that could no longer be sent was reported by itself: 3,000 of them, after a pause of the process, are more than the queue of the session holds (1,024 frames), which ends it.

TestHeldUpTogether failed before.

--- a/sidecar/many_starts_test.go
+++ b/sidecar/many_starts_test.go
@@ -199,3 +199,48 @@
 	// Those that were in flight with it may be fenced off.
 	assert.Assert(t, confirmed >= count-platform.MaxConcurrentStarts, "%d", confirmed)
 }
+
+// TestHeldUpTogether checks that starts that can't be sent any more are reported together. One report
+// for each is more than the queue of a session holds, which ends it.
+func TestHeldUpTogether(t *testing.T) {
+	t.Parallel()
+
+	const count = 3000
+
+	s := listedSidecar(t, func(string) bool { return false })
+	reports := connectLeader(t, s, 1)
+	assert.Assert(t, (<-reports).GetFull())
+
+	s.mu.Lock()
+	s.gate.Authorize(boottime.Now())
+	s.starting = platform.MaxConcurrentStarts
+
+	m := &peerpb.Orders{
+		WorkerID: s.gate.Worker.ID,
+		Born:     s.gate.Worker.Born,
+	}
+	for i := range count {
+		m.Starts = append(m.Starts, &peerpb.StartOrder{
+			Task:    fmt.Sprintf("00000000000000aa.0.0.%d", i),
+			Attempt: 1,
+		})
+	}
+
+	s.handleOrders(m)
+	s.gate.Answering = false
+	s.mu.Unlock()
+
+	_, ok := s.nextStart()
+	assert.Assert(t, !ok)
+
+	var (
+		joiner peer.ReportJoiner
+		report *peerpb.WorkerReport
+	)
+
+	for report == nil {
+		report = joiner.Add(<-reports)
+	}
+
+	assert.Equal(t, len(report.GetEnds()), count)
+}
--- a/sidecar/worker.go
+++ b/sidecar/worker.go
@@ -491,12 +491,20 @@
 	order    gate.StartOrder
 }
 
-// nextStart returns the next start that may still be sent. If there is none, it returns false and
-// gives up the place of a sender.
+// nextStart returns the next start that may still be sent, and reports those before it as not run.
+// If there is none, it returns false and gives up the place of a sender.
 func (s *Sidecar) nextStart() (issuedStart, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	var heldUp []gate.EndEvent
+
+	defer func() {
+		if len(heldUp) > 0 {
+			s.sendReport(heldUp)
+		}
+	}()
+
 	for {
 		now := boottime.Now()
 
@@ -521,7 +529,7 @@
 
 		s.repeats.Log(s.log, zap.WarnLevel, "StartHeldUp", "not sent in time", zap.String("Job", o.Task.Job),
 			zap.Stringer("Task", o.Task), zap.Int("Attempt", o.Attempt), zap.Duration("Age", now-q.Reserved))
-		s.sendReport(s.gate.Reject(o.Task, o.Attempt))
+		heldUp = append(heldUp, s.gate.Reject(o.Task, o.Attempt)...)
 	}
 }
 
