--- a/io/peer/convert.go
+++ b/io/peer/convert.go
@@ -8,8 +8,6 @@
 	"trefoildeck/core/placement"
 	"trefoildeck/core/resource"
 	"trefoildeck/io/peer/peerpb"
-
-	"google.golang.org/protobuf/proto"
 )
 
 // Roles of a Hello. Sidecars have the role of an agent, coordinators that of an
@@ -44,10 +42,7 @@
 
 // EncodeNews encodes resources, as several messages if they don't fit into one.
 func EncodeNews(list []resource.Resource) ([]*peerpb.News, error) {
-	var (
-		messages []*peerpb.News
-		size     int
-	)
+	var encoded []*peerpb.Resource
 
 	for _, r := range list {
 		m := &peerpb.Resource{
@@ -66,15 +61,12 @@
 			m.Spec = spec
 		}
 
-		n := itemSize(proto.Size(m))
-		if size == 0 || size+n > maxPackedBytes {
-			messages = append(messages, &peerpb.News{})
-			size = 0
-		}
+		encoded = append(encoded, m)
+	}
 
-		size += n
-		last := messages[len(messages)-1]
-		last.Resources = append(last.Resources, m)
+	var messages []*peerpb.News
+	for _, l := range pack(encoded) {
+		messages = append(messages, &peerpb.News{Resources: l})
 	}
 
 	return messages, nil
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -207,28 +207,20 @@
 // EncodeEstimates encodes interference estimates of pairs of images, as several messages if they
 // don't fit into one.
 func EncodeEstimates(estimates map[interference.Pair]interference.Estimate) []*peerpb.Estimates {
-	var (
-		messages []*peerpb.Estimates
-		size     int
-	)
+	var list []*peerpb.Estimate
 
 	for p, e := range estimates {
-		estimate := &peerpb.Estimate{
+		list = append(list, &peerpb.Estimate{
 			Filling: p.Filling,
 			Serving: p.Serving,
 			Factor:  float32(e.Factor),
 			Weight:  float32(e.Weight),
-		}
-		n := itemSize(proto.Size(estimate))
-
-		if size == 0 || size+n > maxPackedBytes {
-			messages = append(messages, &peerpb.Estimates{})
-			size = 0
-		}
+		})
+	}
 
-		size += n
-		m := messages[len(messages)-1]
-		m.List = append(m.List, estimate)
+	var messages []*peerpb.Estimates
+	for _, l := range pack(list) {
+		messages = append(messages, &peerpb.Estimates{List: l})
 	}
 
 	return messages
--- a/io/peer/orders.go
+++ b/io/peer/orders.go
@@ -10,21 +10,9 @@
 	"trefoildeck/io/peer/peerpb"
 
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 )
 
-// maxPackedBytes is the size, in bytes, up to which items are packed into one message. It leaves
-// room in a frame for one item that is larger, and for the fields beside the items.
-const maxPackedBytes = MaxFrame / 4
-
-// MaxCheckpointBytes is the longest checkpoint that a report may have. With it, an order that
-// carries it fits into a frame as well.
-const MaxCheckpointBytes = maxPackedBytes
-
-// itemSize returns the size, in bytes, that an item of n encoded bytes takes in a message.
-func itemSize(n int) int { return protowire.SizeTag(1) + protowire.SizeBytes(n) }
-
 // EncodeOrders encodes the leader's orders to a worker's sidecar, as several messages if they
 // don't fit into one.
 func EncodeOrders(o *fleet.Orders) []*peerpb.Orders {
--- a/sidecar/many_starts_test.go
+++ b/sidecar/many_starts_test.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// startOrders returns orders to start tasks of one job. The caller holds the lock.
+func startOrders(s *Sidecar, count int) *peerpb.Orders {
+	m := &peerpb.Orders{
+		WorkerID: s.gate.Worker.ID,
+		Born:     s.gate.Worker.Born,
+	}
+
+	for i := range count {
+		m.Starts = append(m.Starts, &peerpb.StartOrder{
+			Task:    fmt.Sprintf("00000000000000aa.0.0.%d", i),
+			Attempt: 1,
+		})
+	}
+
+	return m
+}
+
 // TestUnansweredAmongMany checks that a start that goes unanswered costs none of those that wait
 // behind it.
 func TestUnansweredAmongMany(t *testing.T) {
@@ -169,18 +186,7 @@
 	s.mu.Lock()
 	s.gate.Authorize(boottime.Now())
 
-	m := &peerpb.Orders{
-		WorkerID: s.gate.Worker.ID,
-		Born:     s.gate.Worker.Born,
-	}
-	for i := range count {
-		m.Starts = append(m.Starts, &peerpb.StartOrder{
-			Task:    fmt.Sprintf("00000000000000aa.0.0.%d", i),
-			Attempt: 1,
-		})
-	}
-
-	s.handleOrders(m)
+	s.handleOrders(startOrders(s, count))
 	s.mu.Unlock()
 
 	time.Sleep(2 * time.Second)
@@ -215,18 +221,7 @@
 	s.gate.Authorize(boottime.Now())
 	s.starting = platform.MaxConcurrentStarts
 
-	m := &peerpb.Orders{
-		WorkerID: s.gate.Worker.ID,
-		Born:     s.gate.Worker.Born,
-	}
-	for i := range count {
-		m.Starts = append(m.Starts, &peerpb.StartOrder{
-			Task:    fmt.Sprintf("00000000000000aa.0.0.%d", i),
-			Attempt: 1,
-		})
-	}
-
-	s.handleOrders(m)
+	s.handleOrders(startOrders(s, count))
 	s.gate.Answering = false
 	s.mu.Unlock()
 
