Remove a note after the task is stored as done

Found by reading the diff; shown by a test. The row of a long note was removed before, or with, the segment row that says that its task is done. A leader lost between the two transactions would have forgotten the task's failures. Rows are now removed last.

--- a/core/fleet/progress_rows.go
+++ b/core/fleet/progress_rows.go
@@ -226,23 +226,34 @@
 }
 
 // dirtyRows returns the rows to be written, in the order in which they may be written one after
-// the other: the state of a job that is over before the others are removed, and a note row before
-// the segment row that had the note.
+// the other: a note row before the segment row that had the note, and rows to be removed last, after
+// the row that says that the task is done or the job over.
 func (j *jobInfo) dirtyRows() []rowName {
 	return slices.SortedFunc(maps.Keys(j.dirty), func(a, b rowName) int {
-		order := cmp.Compare(a.number, b.number)
-
-		switch {
-		case a.note == b.note:
-			return order
-		case a.note != j.state.Final():
-			return -1
-		default:
-			return 1
-		}
+		return cmp.Or(cmp.Compare(j.rank(a), j.rank(b)), cmp.Compare(a.number, b.number))
 	})
 }
 
+// rank returns the place of a row in the order of dirtyRows.
+func (j *jobInfo) rank(n rowName) int {
+	const noteRank, segmentRank, removalRank = 0, 1, 2
+
+	switch {
+	case n == head:
+		return segmentRank
+	case j.state.Final():
+		return removalRank
+	case !n.note:
+		return segmentRank
+	}
+
+	if _, t := j.taskNumbered(n.number); t.hasNote() {
+		return noteRank
+	}
+
+	return removalRank
+}
+
 // encodeRow returns the value of a row, or nil if the row is not needed.
 func (f *Fleet) encodeRow(j *jobInfo, n rowName) ([]byte, error) {
 	var p progress
--- a/core/fleet/progress_test.go
+++ b/core/fleet/progress_test.go
@@ -196,7 +196,8 @@
 }
 
 // TestLongNoteFirst checks that a note that becomes too long for its segment is stored before, or
-// together with, the segment without it. A leader that is lost in between must not forget failures.
+// together with, the segment without it, and removed after the task was stored as done. A leader that
+// is lost in between must not forget failures.
 func TestLongNoteFirst(t *testing.T) {
 	f := New(1)
 	f.Add(0, 0, record(jobA, step(2)))
@@ -226,6 +227,25 @@
 	}
 
 	assert.Equal(t, len(stored), 2)
+
+	// The note is removed only once the task is known to be done.
+	f.RecordEnd(0, "n1", end("n1", 3, jobA, 3, gate.Done).End)
+
+	for f.Changed() {
+		b, err := f.Changes(limits)
+		assert.NilError(t, err)
+
+		stored = applyRows(stored, b)
+		f.Committed(b)
+
+		g := New(2)
+		assert.NilError(t, g.Load(0, 0, record(jobA, step(2)), stored, false))
+
+		restored := &g.jobs[jobA].steps[0].tasks[0]
+		assert.Assert(t, restored.phase == done || len(restored.failures) == 1)
+	}
+
+	assert.Equal(t, len(stored), 1)
 }
 
 // TestCheckpointNotStored checks that a checkpoint that no row can hold keeps neither the failures
