Wait for an entry's configuration in TestHostedWithdrawn

Its trace: front-2 had logged Started, and no ConfigurationInForce, 12 ms after its start, when the job that front-1 had accepted let the test go on. An entry that has no configuration yet answers 503, so the test was wrong to expect 404 at once.

It checks both now: before an entry is ready, 404 or 503, and 404 once it is.

--- a/integration/platform_authority_test.go
+++ b/integration/platform_authority_test.go
@@ -132,7 +132,13 @@
 	id := h.submit(dependentSteps()...)
 
 	for i := range h.entries {
+		// An entry that has no configuration yet refuses all requests.
 		status, _ := h.callPath(i, http.MethodGet, withdrawn, nil)
+		assert.Assert(t, status == http.StatusNotFound || status == http.StatusServiceUnavailable, "%d", status)
+
+		h.awaitReady(i)
+
+		status, _ = h.callPath(i, http.MethodGet, withdrawn, nil)
 		assert.Equal(t, status, http.StatusNotFound)
 	}
 
