Don't wait for the reports of absent nodes

Cause: the new leader waited for the report of an agent whose worker had left 4 s before. Agents' rows stay in the node table, and an agent without a worker never reports.

Change: the leader stores which nodes have no session and no lease, and the next one doesn't wait for them. A node that comes back is used once the row no longer lists it, as the next leader would start its tasks a second time.

--- /dev/null
+++ b/coordinator/absences_test.go
@@ -0,0 +1,122 @@
+package coordinator
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"trefoildeck/core/fleet"
+	"trefoildeck/core/gate"
+	"trefoildeck/core/job"
+	"trefoildeck/io/peer"
+	"trefoildeck/io/peer/peerpb"
+	"trefoildeck/standin/emulator"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestAbsentNodeNotAwaited checks that a leader doesn't wait for the report of a sidecar that its
+// predecessor has found to be absent. After a worker had been taken away, each new leader waited
+// 6.4 s before it started tasks of loaded jobs.
+func TestAbsentNodeNotAwaited(t *testing.T) {
+	running := []gate.Run{{
+		Task:       job.TaskID{Job: "00000000000000cc"},
+		Attempt:    1,
+		OrderKnown: true,
+	}}
+	stray := []gate.Run{{
+		Task:    job.TaskID{Job: "00000000000000dd"},
+		Attempt: 1,
+	}}
+
+	tests := map[string]struct {
+		runs       []gate.Run
+		contactAge time.Duration
+		missing    int
+	}{
+		"Idle":        {nil, time.Second, 0},
+		"IdleJustNow": {nil, 900 * time.Millisecond, 1},
+		"Running":     {running, fleet.MaxLeaseTime - time.Second, 1},
+		"Expired":     {running, fleet.MaxLeaseTime, 0},
+		"StrayRun":    {stray, fleet.MaxLeaseTime - time.Second, 1},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := emulator.NewRowStore()
+			l := newTestLeader(t, s)
+			n := peer.Node{
+				Name:    "side-2",
+				Address: netip.MustParseAddrPort("127.0.0.1:1"),
+				Role:    peer.RoleAgent,
+				Boot:    "first",
+			}
+			l.nodes[n.Name] = &nodeLink{node: n}
+
+			now := l.c.now()
+			l.fleet.Add(now, 0, job.Record{
+				ID:   running[0].Task.Job,
+				Spec: job.Spec{Steps: []job.Step{{Count: 1}}},
+			})
+			l.fleet.Report(now, n.Name, fleet.Report{
+				Full: true,
+				Runs: c.runs,
+			})
+			l.fleet.Disconnected(n.Name)
+
+			l.c.now = func() time.Duration { return now + c.contactAge }
+			l.lease.record.Expiry += c.contactAge
+
+			assert.NilError(t, l.storeAbsences(t.Context()))
+
+			next := newLeader(l.c, 2, l.lease)
+			assert.NilError(t, next.loadAbsences(t.Context()))
+
+			next.fleet.AwaitReports(now, []string{n.Name}, next.absences.Listed())
+			assert.Equal(t, next.fleet.MissingReports(), c.missing)
+		})
+	}
+}
+
+// TestAbsentNodeReturns checks that a sidecar that the stored row lists as absent is not used
+// before the row has been changed. The next leader would not wait for its report, and would start
+// its tasks a second time.
+func TestAbsentNodeReturns(t *testing.T) {
+	l := newTestLeader(t, emulator.NewRowStore())
+	sessions, frames := make(chan *peer.Session, 1), make(chan *peerpb.Frame, 1)
+	n := acceptNode(t, sessions, frames)
+
+	version, err := l.commitAbsences(t.Context(), []string{n.Name}, 0)
+	assert.NilError(t, err)
+	assert.Assert(t, version > 0)
+	assert.NilError(t, l.loadAbsences(t.Context()))
+
+	row, err := n.Row()
+	assert.NilError(t, err)
+
+	_, ok := l.applyNodeRow(t.Context(), row)
+	assert.Assert(t, ok)
+
+	report := &peerpb.Frame{Body: &peerpb.Frame_WorkerReport{WorkerReport: &peerpb.WorkerReport{Full: true}}}
+	ping := &peerpb.Frame{Body: &peerpb.Frame_Ping{Ping: &peerpb.Ping{Number: 1}}}
+
+	held := <-sessions
+	assert.NilError(t, held.Send(report))
+	assert.NilError(t, held.Send(ping))
+
+	// Its connection is what asks for the write.
+	<-l.absenceEnded
+	assert.NilError(t, l.storeAbsences(t.Context()))
+
+	<-held.Done()
+
+	session := <-sessions
+	assert.NilError(t, session.Send(report))
+	assert.NilError(t, session.Send(ping))
+	assert.Assert(t, (<-frames).GetPong() != nil, "the first answer came before the row was changed")
+
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	assert.Assert(t, !l.absences.MayList(n.Name))
+}
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -62,6 +62,8 @@
 	versions map[string]int64
 	// rejections has the rows that the store rejects.
 	rejections rejections
+	// absences is the row of absent sidecars.
+	absences fleet.Absences
 	// repeats limits the log lines about checkpoints that can't be stored.
 	repeats jsonlog.Repeats
 
@@ -78,6 +80,8 @@
 	wake chan struct{}
 	// flush requests a write of changes.
 	flush chan struct{}
+	// absenceEnded requests a write of the absent sidecars, since one of them has connected.
+	absenceEnded chan struct{}
 }
 
 func newLeader(c *Coordinator, term int64, ls leaseState) *leader {
@@ -97,6 +101,8 @@
 		flush:      make(chan struct{}, 1),
 
 		committing: make(chan struct{}, 1),
+
+		absenceEnded: make(chan struct{}, 1),
 	}
 }
 
@@ -154,6 +160,10 @@
 		return err
 	}
 
+	if err := l.loadAbsences(ctx); err != nil {
+		return err
+	}
+
 	l.applyOperatorState()
 	l.c.mu.Lock()
 	l.c.localLeader = l
@@ -162,6 +172,7 @@
 	group.Go(func() error { return l.watchNodes(ctx) })
 	group.Go(func() error { return l.watchJobs(ctx, after) })
 	group.Go(func() error { return l.persistChanges(ctx) })
+	group.Go(func() error { return l.watchAbsences(ctx) })
 	group.Go(func() error { return l.broadcastEstimates(ctx) })
 	group.Go(func() error { return l.yieldToStronger(ctx) })
 
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -20,6 +20,11 @@
 	// the time opened.
 	session *peer.Session
 	opened  time.Duration
+	// held means that the session's frames are not handled, since the row of absent sidecars
+	// may list this one.
+	held bool
+	// returning means that the row no longer lists the sidecar, which opens another session.
+	returning bool
 	// report joins the messages of a report in the current session.
 	report peer.ReportJoiner
 	log    *zap.Logger
@@ -63,7 +68,7 @@
 			first = false
 
 			l.mu.Lock()
-			l.fleet.AwaitReports(l.c.now(), sidecars)
+			l.fleet.AwaitReports(l.c.now(), sidecars, l.absences.Listed())
 			l.mu.Unlock()
 			notify(l.wake)
 		}
@@ -138,8 +143,15 @@
 			n.session = s
 			n.opened = l.c.now()
 			n.report = peer.ReportJoiner{}
+			n.held = l.absences.MayList(n.node.Name)
 			l.c.log.Info("NodeConnected", zap.String("Node", n.node.Name), zap.Int64("Term", l.term))
 
+			if n.held {
+				notify(l.absenceEnded)
+
+				return
+			}
+
 			if n.node.Role == peer.RoleAgent {
 				for _, m := range peer.EncodeEstimates(l.fleet.Interference.All()) {
 					n.send(&peerpb.Frame{Body: &peerpb.Frame_Estimates{Estimates: m}})
@@ -176,7 +188,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	if l.nodes[n.node.Name] != n || n.session != s {
+	if l.nodes[n.node.Name] != n || n.session != s || n.held {
 		return
 	}
 
@@ -186,26 +198,7 @@
 			n.send(&peerpb.Frame{Body: &peerpb.Frame_Pong{Pong: &peerpb.Pong{Number: b.Ping.GetNumber()}}})
 		}
 	case *peerpb.Frame_WorkerReport:
-		report := n.report.Add(b.WorkerReport)
-		if report == nil {
-			return
-		}
-
-		r, err := peer.DecodeReport(n.node.DataCentre, report)
-		if err != nil {
-			l.c.log.Error("ReportUnreadable", zap.String("Node", n.node.Name), jsonlog.Error(err))
-
-			return
-		}
-
-		for _, e := range r.Ends {
-			l.c.meter.Count("tasks_ended_total", "how", string(e.Reason))
-			l.c.log.Info("TaskEnded", zap.String("Job", e.Task.Job), zap.Stringer("Task", e.Task), zap.Int("Attempt", e.Attempt),
-				zap.String("How", string(e.Reason)), zap.String("Node", n.node.Name), zap.Int64("Number", e.Number))
-		}
-
-		l.fleet.Report(l.c.now(), n.node.Name, r)
-		notify(l.wake)
+		l.handleReport(n, b.WorkerReport)
 	case *peerpb.Frame_Estimates:
 		// A restarted sidecar starts without evidence and must not replace that of the
 		// process before it.
@@ -228,6 +221,31 @@
 	}
 }
 
+// handleReport handles a message of a sidecar's report. The caller holds l.mu.
+func (l *leader) handleReport(n *nodeLink, m *peerpb.WorkerReport) {
+	report := n.report.Add(m)
+	if report == nil {
+		return
+	}
+
+	r, err := peer.DecodeReport(n.node.DataCentre, report)
+	if err != nil {
+		l.c.log.Error("ReportUnreadable", zap.String("Node", n.node.Name), jsonlog.Error(err))
+
+		return
+	}
+
+	for _, e := range r.Ends {
+		l.c.meter.Count("tasks_ended_total", "how", string(e.Reason))
+		l.c.log.Info("TaskEnded", zap.String("Job", e.Task.Job), zap.Stringer("Task", e.Task), zap.Int("Attempt", e.Attempt),
+			zap.String("How", string(e.Reason)), zap.String("Node", n.node.Name), zap.Int64("Number", e.Number))
+	}
+
+	n.returning = false
+	l.fleet.Report(l.c.now(), n.node.Name, r)
+	notify(l.wake)
+}
+
 // estimatesPeriod is the time between two broadcasts of the pooled interference
 // estimates: the images in use change within seconds.
 const estimatesPeriod = 2 * time.Second
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -100,6 +100,8 @@
 	reportDeadline time.Duration
 	// nodesKnown means that AwaitReports was called.
 	nodesKnown bool
+	// absent has the nodes that Absent returns.
+	absent map[string]bool
 
 	// Interference has the pooled estimates of interference from all workers.
 	Interference *interference.Pool
@@ -141,6 +143,7 @@
 		rejected:   rejectedSizes{},
 		orders:     map[string]*Orders{},
 		unreported: map[string]bool{},
+		absent:     map[string]bool{},
 
 		changed:      map[string]*jobInfo{},
 		laterChanged: map[string]*jobInfo{},
@@ -153,10 +156,15 @@
 
 // AwaitReports adds nodes that may run tasks of the previous leader and whose
 // reports Schedule waits for. It is called when this process becomes the leader and
-// knows the nodes. Until then, Schedule starts no task of a loaded job.
-func (f *Fleet) AwaitReports(now time.Duration, nodes []string) {
+// knows the nodes. Until then, Schedule starts no task of a loaded job. Nodes that were
+// absent under the previous leader are not awaited.
+func (f *Fleet) AwaitReports(now time.Duration, nodes []string, absent map[string]bool) {
 	for _, n := range nodes {
-		if w := f.workers[n]; w == nil || !w.connected {
+		switch w := f.workers[n]; {
+		case w != nil && w.connected:
+		case absent[n]:
+			f.markAbsent(n)
+		default:
 			f.unreported[n] = true
 		}
 	}
@@ -173,6 +181,11 @@
 func (f *Fleet) awaitsReports(now time.Duration) bool {
 	if len(f.unreported) > 0 && now >= f.reportDeadline {
 		f.unawaited = slices.Sorted(maps.Keys(f.unreported))
+
+		for _, n := range f.unawaited {
+			f.markAbsent(n)
+		}
+
 		clear(f.unreported)
 	}
 
--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"trefoildeck/core/fleet"
 	"trefoildeck/core/job"
 
 	"gotest.tools/v3/assert"
@@ -40,6 +41,10 @@
 		"resignations":  {resign: 0.4, killAgent: 0.2, cut: 0.8, loseWrite: 0.4, maxDelay: 100 * time.Millisecond},
 		"pauses inside": {pauseInside: 0.01, resign: 0.1, silent: 0.1, loseCall: 0.05, maxDelay: 100 * time.Millisecond},
 		"small rows":    {killEntry: 0.1, resign: 0.2, cut: 0.2, crash: 0.1, loseWrite: 0.2, maxDelay: 50 * time.Millisecond, smallRows: true},
+		"absences": {
+			killAgent: 0.1, pauseAgent: 0.2, killEntry: 0.03, pauseEntry: 0.03, resign: 0.1, cut: 0.1, silent: 0.1, loseWrite: 0.1,
+			pauseInside: 0.002, maxDelay: 100 * time.Millisecond, absences: true, longerPause: fleet.MaxLeaseTime,
+		},
 		"together": {
 			killAgent: 0.15, killAllAgents: 0.02, killAllEntries: 0.02, pauseAgent: 0.15, killEntry: 0.08, pauseEntry: 0.1, resign: 0.1, cut: 0.3,
 			crash: 0.08, silent: 0.15, leave: 0.03, loseCall: 0.05, loseWrite: 0.1, pauseInside: 0.003, maxDelay: 200 * time.Millisecond,
@@ -182,7 +187,7 @@
 	w.run(faultsUntil)
 	w.logf("the faults end")
 
-	w.faults = faults{}
+	w.faults = faults{absences: w.faults.absences}
 	clear(w.cutUntil)
 	w.run(healedAt + finishWithin)
 	w.checkJobs()
@@ -261,7 +266,7 @@
 				w.killAgent(a)
 			}
 		}},
-		{w.faults.pauseAgent, func() { a.pause(pause) }},
+		{w.faults.pauseAgent, func() { a.pause(pause + w.faults.longerPause) }},
 		{w.faults.killEntry, func() { w.killEntry(e) }},
 		{w.faults.killAllEntries, func() {
 			for _, e := range w.entries {
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -24,7 +24,9 @@
 	// told that its leader holds the lease. All leases on its worker have expired
 	// MaxLeaseTime later.
 	lastContact time.Duration
-	runs        map[job.TaskID]*run
+	// strayAt is when the worker last listed a run that isn't one of runs, 0 if never.
+	strayAt time.Duration
+	runs    map[job.TaskID]*run
 
 	// used is the sum of the sizes of all tasks, without the processor time of
 	// filling tasks.
@@ -179,6 +181,7 @@
 
 	if r.Full {
 		delete(f.unreported, node)
+		delete(f.absent, node)
 	}
 }
 
@@ -205,6 +208,7 @@
 
 	if j == nil || j.state.Final() || t.phase == done ||
 		(t.phase == active && (t.worker != w || g.Attempt < t.attempt)) {
+		w.strayAt = now
 		f.orderStop(w, g.Task, g.Attempt)
 
 		return
@@ -327,12 +331,14 @@
 // expired.
 func (f *Fleet) expireRuns(now time.Duration) {
 	for _, w := range f.sortedWorkers {
-		if w.connected || len(w.runs) == 0 || now < w.lastContact+MaxLeaseTime {
+		if w.connected || now < w.lastContact+MaxLeaseTime {
 			continue
 		}
 
 		for id, run := range w.runs {
 			f.giveUp(now, w, id, run, gate.Lapsed)
 		}
+
+		f.markAbsent(w.node)
 	}
 }
--- a/core/fleet/world_leader_test.go
+++ b/core/fleet/world_leader_test.go
@@ -50,6 +50,7 @@
 	passing, passAgain   bool
 	timer                int
 	flushing, flushAgain bool
+	absences             fleet.Absences
 }
 
 // link keeps a session with an agent open.
@@ -59,6 +60,8 @@
 	session   *session
 	cancelled bool
 	redial    time.Duration
+	// held and returning are those of package coordinator.
+	held, returning bool
 }
 
 func (e *entry) start() {
@@ -333,10 +336,13 @@
 			}
 		}
 
-		l.loaded, l.jobs = true, version
-		l.watchJobs()
-		l.watchNodes(true)
-		l.setTimer(lease.Duration)
+		l.loadAbsences(func() {
+			l.loaded, l.jobs = true, version
+			l.watchJobs()
+			l.watchNodes(true)
+			l.watchAbsences()
+			l.setTimer(lease.Duration)
+		})
 	})
 }
 
@@ -399,7 +405,7 @@
 				first = false
 				// The links are open before the last row is applied.
 				l.after(w.delay(), func() {
-					l.fleet.AwaitReports(w.now, names)
+					l.fleet.AwaitReports(w.now, names, l.absences.Listed())
 					l.wake()
 				})
 			}
@@ -460,6 +466,7 @@
 		s.onClose[agentSide] = func() { a.dropLeader(s) }
 		w.sessions = append(slices.DeleteFunc(w.sessions, func(s *session) bool { return s.closed[0] && s.closed[1] }), s)
 		n.session = s
+		n.held = l.absences.MayList(a.name)
 		s.watch(leaderSide, minProbes+w.random.IntN(maxProbes-minProbes+1), 0)
 		s.watch(agentSide, minProbes+w.random.IntN(maxProbes-minProbes+1), 0)
 		s.send(agentSide, func() { a.acceptLeader(s) })
@@ -502,7 +509,9 @@
 }
 
 func (l *leader) current(a *agent, s *session) bool {
-	return !l.over && l.links[a.name] != nil && l.links[a.name].session == s
+	n := l.links[a.name]
+
+	return !l.over && n != nil && n.session == s && !n.held
 }
 
 func (l *leader) handlePing(a *agent, s *session, n uint64) {
@@ -526,6 +535,7 @@
 
 func (l *leader) handleReport(a *agent, s *session, r fleet.Report) {
 	if l.current(a, s) {
+		l.links[a.name].returning = false
 		l.fleet.Report(l.e.w.now, a.name, r)
 		l.wake()
 	}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -37,6 +37,8 @@
 	// are "store".
 	cutUntil map[[2]string]time.Duration
 	store    store
+	// absences counts the writes of the row of absent agents.
+	absences int
 	// doneAt has when a task's last end was taken note of that can't be taken back, and
 	// lastStart when the task last started.
 	doneAt, lastStart map[job.TaskID]time.Duration
@@ -62,6 +64,10 @@
 	maxDelay                         time.Duration
 	// smallRows says that rows are so small that a task that failed needs one of its own.
 	smallRows bool
+	// absences says that leaders store which agents are absent, and longerPause is added to the
+	// pauses of agents, so that some are.
+	absences    bool
+	longerPause time.Duration
 }
 
 // maxRestartDelay is the time after the listing of a success in which its task may start
@@ -308,6 +314,8 @@
 	progress map[string][]byte
 	// nodes has the lives of agents that have registered.
 	nodes map[string]int
+	// absent is the row of absent agents.
+	absent []string
 }
 
 // stamp is the answer of the store. With an error, conflicts has the present versions.
