Keep workers for large tasks that wait

Small tasks took the room of each run that ended, and a task that needs the room of several waited without bound. With LookAhead set, a task that no worker has room for gets a reservation (core/lookahead), and others are placed on its worker only if they end before or leave enough room.

Without LookAhead there are no reservations, and passes decide as before.

--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -81,43 +81,81 @@
 	for _, workers := range []int{11, 51, 300} {
 		for _, waiting := range []int{10, 100} {
 			b.Run(fmt.Sprintf("Workers%d/Waiting%d", workers, waiting), func(b *testing.B) {
-				f := newCrowdedFleet(workers, waiting*workers/11)
-				running := []startedRun{}
-				now := time.Second
-
-				collect := func(orders map[string]*Orders) {
-					for n, o := range orders {
-						for _, s := range o.Starts {
-							if s.Target == 0 {
-								running = append(running, startedRun{
-									node:  n,
-									order: s,
-								})
-							}
-						}
+				benchmarkSchedule(b, newCrowdedFleet(workers, waiting*workers/11))
+			})
+		}
+	}
+}
+
+// BenchmarkLookAhead measures the same as BenchmarkSchedule with and without look-ahead, with 16
+// further jobs waiting whose tasks need the room of several others.
+func BenchmarkLookAhead(b *testing.B) {
+	for _, workers := range []int{11, 51, 300} {
+		for _, waiting := range []int{10, 100} {
+			for _, mode := range []string{"Off", "On"} {
+				b.Run(fmt.Sprintf("Workers%d/Waiting%d/%s", workers, waiting, mode), func(b *testing.B) {
+					f := newCrowdedFleet(workers, waiting*workers/11)
+					f.LookAhead = mode == "On"
+
+					for i := range 16 {
+						f.Add(0, 0, record(fmt.Sprintf("%016x", 1_000_000+i), job.Step{
+							Count: 2,
+							Size: job.Size{
+								MilliCores: 3000 + int64(100*i),
+								MemoryMB:   3000,
+							},
+							Estimate: 2 * time.Second,
+						}))
 					}
-				}
-				collect(f.Schedule(now, time.Time{}))
-
-				b.ResetTimer()
-
-				for i := range b.N {
-					now += time.Millisecond
-					if len(running) > 0 {
-						r := running[0]
-						running = running[1:]
-						f.RecordEnd(now, r.node, gate.End{
-							Number:  int64(i),
-							Task:    r.order.Task,
-							Attempt: r.order.Attempt,
-							Reason:  gate.Stopped,
-						})
+
+					benchmarkSchedule(b, f)
+
+					if f.LookAhead {
+						b.ReportMetric(float64(len(f.ahead.made))/float64(b.N), "reservations/pass")
 					}
+				})
+			}
+		}
+	}
+}
 
-					collect(f.Schedule(now, time.Time{}))
+// benchmarkSchedule measures a pass after the end of one task of a fleet.
+func benchmarkSchedule(b *testing.B, f *Fleet) {
+	b.Helper()
+
+	running := []startedRun{}
+	now := time.Second
+
+	collect := func(orders map[string]*Orders) {
+		for n, o := range orders {
+			for _, s := range o.Starts {
+				if s.Target == 0 {
+					running = append(running, startedRun{
+						node:  n,
+						order: s,
+					})
 				}
+			}
+		}
+	}
+	collect(f.Schedule(now, time.Time{}))
+
+	b.ResetTimer()
+
+	for i := range b.N {
+		now += time.Millisecond
+		if len(running) > 0 {
+			r := running[0]
+			running = running[1:]
+			f.RecordEnd(now, r.node, gate.End{
+				Number:  int64(i),
+				Task:    r.order.Task,
+				Attempt: r.order.Attempt,
+				Reason:  gate.Stopped,
 			})
 		}
+
+		collect(f.Schedule(now, time.Time{}))
 	}
 }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -84,6 +84,8 @@
 	Out map[string]bool
 	// RowBytes is the limit of the value of a row of progress.
 	RowBytes int
+	// LookAhead enables reservations for tasks that no worker has room for.
+	LookAhead bool
 
 	term    int64
 	jobs    map[string]*jobInfo
@@ -92,6 +94,7 @@
 	// sortedWorkers has the workers sorted by node name.
 	sortedWorkers []*workerInfo
 	rejected      rejectedSizes
+	ahead         lookAhead
 	orders        map[string]*Orders
 	// unreported has the nodes that have not reported in this term. The tasks that
 	// the previous leader started there are unknown until the node reports or, at
@@ -190,6 +193,7 @@
 	blocked := f.awaitsReports(now)
 	f.sortOpen(now)
 	clear(f.rejected)
+	f.checkReservations(now)
 
 	for _, j := range f.open {
 		if j.loaded && blocked {
@@ -254,6 +258,8 @@
 		earlier(now + f.nextStart.Sub(f.wall))
 	}
 
+	earlier(f.ahead.plan.NextExpiry())
+
 	for _, w := range f.sortedWorkers {
 		if !w.connected && len(w.runs) > 0 {
 			earlier(w.lastContact + MaxLeaseTime)
--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -40,6 +40,10 @@
 		"resignations":  {resign: 0.4, killAgent: 0.2, cut: 0.8, loseWrite: 0.4, maxDelay: 100 * time.Millisecond},
 		"pauses inside": {pauseInside: 0.01, resign: 0.1, silent: 0.1, loseCall: 0.05, maxDelay: 100 * time.Millisecond},
 		"small rows":    {killEntry: 0.1, resign: 0.2, cut: 0.2, crash: 0.1, loseWrite: 0.2, maxDelay: 50 * time.Millisecond, smallRows: true},
+		"crowded": {
+			killAgent: 0.1, killEntry: 0.05, resign: 0.05, cut: 0.1, crash: 0.08, silent: 0.1, leave: 0.03, loseCall: 0.02, maxDelay: 50 * time.Millisecond,
+			crowded: true,
+		},
 		"together": {
 			killAgent: 0.15, killAllAgents: 0.02, killAllEntries: 0.02, pauseAgent: 0.15, killEntry: 0.08, pauseEntry: 0.1, resign: 0.1, cut: 0.3,
 			crash: 0.08, silent: 0.15, leave: 0.03, loseCall: 0.05, loseWrite: 0.1, pauseInside: 0.003, maxDelay: 200 * time.Millisecond,
@@ -107,6 +111,22 @@
 	assert.DeepEqual(t, a, b)
 }
 
+// TestReservedHistory checks that leaders of crowded histories make reservations, so that
+// TestHistories checks the rules with them.
+func TestReservedHistory(t *testing.T) {
+	f, made := histories()["crowded"], 0
+
+	for seed := range uint64(11) {
+		for _, line := range traceOf(seed, f) {
+			if strings.Contains(line, "reserves") {
+				made++
+			}
+		}
+	}
+
+	assert.Assert(t, made > 100, "%d reservations", made)
+}
+
 // traceOf returns the notable events of a history.
 func traceOf(seed uint64, f faults) []string {
 	var list []string
@@ -194,11 +214,16 @@
 		return
 	}
 
+	sizes := int64(3)
+	if w.faults.crowded {
+		sizes = 7
+	}
+
 	step := func(after ...int) job.Step {
 		return job.Step{
 			Count: 1 + w.random.IntN(3),
 			Size: job.Size{
-				MilliCores: 1000 + 500*w.random.Int64N(3),
+				MilliCores: 1000 + 500*w.random.Int64N(sizes),
 				MemoryMB:   100,
 			},
 			Estimate: time.Second,
--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -140,7 +140,7 @@
 // step now.
 func (f *Fleet) canRunElsewhere(now time.Duration, j *jobInfo, s *stepInfo, here *workerInfo) bool {
 	for _, w := range f.sortedWorkers {
-		if w == here || !f.feasible(now, j, s, w) {
+		if w == here || !f.feasible(now, j, s, w) || !f.mayUse(now, j, s, w) {
 			continue
 		}
 
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -59,10 +59,12 @@
 
 		w := f.chooseWorker(now, j, s, t)
 		if w == nil {
+			f.reserve(now, j, s, t, j.taskID(i, k))
 			// The tasks of a step are identical, so no other one fits either.
 			return
 		}
 
+		f.settle(now, j, s, w)
 		f.startTask(now, j, s, t, w, j.taskID(i, k))
 	}
 }
@@ -70,7 +72,7 @@
 // chooseWorker returns the feasible worker with the highest score for a task, or
 // nil. Ties go to the first node name.
 func (f *Fleet) chooseWorker(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo) *workerInfo {
-	c := constraintsOf(j, s.spec)
+	c := f.reachStep(j, s)
 	if f.rejected.covers(c, s.spec.Size) {
 		return nil
 	}
@@ -81,7 +83,7 @@
 	)
 
 	for _, w := range f.sortedWorkers {
-		if !f.feasible(now, j, s, w) {
+		if !f.feasible(now, j, s, w) || !f.mayUse(now, j, s, w) {
 			continue
 		}
 
@@ -106,11 +108,11 @@
 	return best
 }
 
-// feasible reports whether a worker meets the hard constraints of a step's tasks:
-// its state, service and labels, the step's anti-affinity, and free resources.
-func (f *Fleet) feasible(now time.Duration, j *jobInfo, s *stepInfo, w *workerInfo) bool {
+// eligible reports whether a worker meets the hard constraints of a step's tasks other than
+// free resources: its state, service and labels, and the step's anti-affinity.
+func (f *Fleet) eligible(now time.Duration, j *jobInfo, s *stepInfo, w *workerInfo) bool {
 	switch {
-	case !w.connected || !w.ready || f.Out[w.dataCentre] || w.quarantined(now, s.spec) || now < w.refusals.until:
+	case !w.connected || !w.ready || f.Out[w.dataCentre] || w.quarantined(now, s.spec):
 		return false
 	case w.service != j.record.Service:
 		return false
@@ -120,6 +122,16 @@
 		return false
 	}
 
+	return true
+}
+
+// feasible reports whether a worker is eligible for a step's tasks, takes starts, and has free
+// resources.
+func (f *Fleet) feasible(now time.Duration, j *jobInfo, s *stepInfo, w *workerInfo) bool {
+	if now < w.refusals.until || !f.eligible(now, j, s, w) {
+		return false
+	}
+
 	size := s.spec.Size
 	if s.spec.Fills {
 		size.MilliCores = 0
@@ -230,7 +242,7 @@
 // least headroom of the serving tasks there. It also reports whether the task fits
 // into both.
 func (f *Fleet) scoreFilling(s *job.Step, w *workerInfo, free int64) (int64, bool) {
-	free += w.servingMilliCores * (100 - servingUsePercent) / 100
+	free += unusedMilliCores(w.servingMilliCores)
 	fits := free >= s.Size.MilliCores
 	headroom := maxHeadroom
 	share := w.share(s)
@@ -289,6 +301,7 @@
 	s.perWorker[w]++
 	j.active++
 	w.addRun(now, id, attempt, s.spec)
+	w.runs[id].progress.resumed = t.checkpoint != ""
 }
 
 func (f *Fleet) startOrder(j *jobInfo, s *stepInfo, t *taskInfo, id job.TaskID) gate.StartOrder {
--- a/core/fleet/rejected_sizes.go
+++ b/core/fleet/rejected_sizes.go
@@ -17,6 +17,10 @@
 	longRunning bool
 	// jobIdle means that no task of the job is active.
 	jobIdle bool
+	// reservation is the number of the step's reservation, if it has one, and runTime the number of
+	// binary digits of a task's estimated run time in milliseconds. They are set while there are
+	// reservations, since a worker that is kept for one task may be used by another.
+	reservation, runTime int
 }
 
 func constraintsOf(j *jobInfo, s *job.Step) constraints {
--- /dev/null
+++ b/core/fleet/run_progress_test.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"trefoildeck/core/lookahead"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRunProgress guards against an expected end that counts the progress of an earlier run, or the
+// time before a new leader found the run, as this run's speed.
+func TestRunProgress(t *testing.T) {
+	const started = 10 * time.Second
+
+	tests := map[string]struct {
+		resumed  bool
+		readings []lookahead.Reading
+		want     time.Duration
+	}{
+		"None":         {false, nil, started + 4*time.Second},
+		"ResumedNone":  {true, nil, started + 4*time.Second},
+		"FromStart":    {false, []lookahead.Reading{{At: started + time.Second, Percent: 10}}, started + 10*time.Second},
+		"Resumed":      {true, []lookahead.Reading{{At: started + time.Second, Percent: 60}, {At: started + 2*time.Second, Percent: 70}}, started + 5*time.Second},
+		"Found":        {false, []lookahead.Reading{{At: started, Percent: 25}}, started + 3*time.Second},
+		"FoundAtSpeed": {false, []lookahead.Reading{{At: started, Percent: 50}, {At: started + 2*time.Second, Percent: 60}}, started + 10*time.Second},
+		"Unchanged":    {false, []lookahead.Reading{{At: started + time.Second, Percent: 10}, {At: started + 2*time.Second, Percent: 10}}, started + 10*time.Second},
+		"WentBack":     {false, []lookahead.Reading{{At: started + time.Second, Percent: 50}, {At: started + 2*time.Second, Percent: 25}}, started + 3*time.Second},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := sized(1, 1, 4*time.Second)
+			r := run{
+				step:     &s,
+				started:  started,
+				progress: runProgress{resumed: c.resumed},
+			}
+
+			for _, p := range c.readings {
+				r.recordProgress(p.At, p.Percent)
+			}
+
+			assert.Equal(t, r.expectedEnd(started+2*time.Second), c.want)
+		})
+	}
+
+	lasting := sized(1, 1, time.Second)
+	lasting.LongRunning = true
+	assert.Equal(t, (&run{step: &lasting}).expectedEnd(time.Hour), time.Duration(0))
+}
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -47,6 +47,8 @@
 	headrooms           []imageHeadroom
 	headroomsGeneration int
 	headroomsStale      bool
+
+	reserved reservedRoom
 }
 
 // run is an attempt that runs, or may run, on a worker, as the leader knows it.
@@ -54,6 +56,7 @@
 	attempt         int
 	step            *job.Step
 	progressPercent int
+	progress        runProgress
 	// latencyMillis is the latest tail latency of a serving task, read at readAt. It
 	// is not used for other tasks.
 	latencyMillis int64
@@ -91,7 +94,7 @@
 // addUse adds the sizes of n tasks of a step to the resources in use; n may be
 // negative.
 func (w *workerInfo) addUse(s *job.Step, n int64) {
-	w.headroomsStale = true
+	w.headroomsStale, w.reserved.fresh = true, false
 	size := s.Size
 	if s.Fills {
 		w.fillingMilliCores += n * size.MilliCores
@@ -234,7 +237,7 @@
 	w.confirmStart(r)
 	r.readAt = now
 	r.latencyMillis = g.Measurement
-	r.progressPercent = g.ProgressPercent
+	r.recordProgress(now, g.ProgressPercent)
 	r.updatePace(now, g.PacePercent)
 
 	if g.Stalled && !r.stalled {
--- a/core/fleet/world_leader_test.go
+++ b/core/fleet/world_leader_test.go
@@ -169,6 +169,7 @@
 		}
 
 		l.term, l.fleet = record.Term, fleet.New(record.Term)
+		l.fleet.LookAhead = e.w.faults.crowded
 		if e.w.faults.smallRows {
 			l.fleet.RowBytes = 1 << 10
 		}
@@ -577,6 +578,10 @@
 	now := l.e.w.now
 	orders := l.fleet.Schedule(now, time.Time{})
 
+	for _, r := range l.fleet.Reservations() {
+		l.e.w.logf("%s, term %d, reserves %s for %v", l.e.name, l.term, r.Node, r.Task)
+	}
+
 	if next := l.fleet.NextWake(now); next > 0 {
 		l.setTimer(next - now)
 	}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -62,6 +62,9 @@
 	maxDelay                         time.Duration
 	// smallRows says that rows are so small that a task that failed needs one of its own.
 	smallRows bool
+	// crowded says that tasks have up to the size of a worker, so that many wait, and that leaders
+	// look ahead.
+	crowded bool
 }
 
 // maxRestartDelay is the time after the listing of a success in which its task may start
