Enable look-ahead by a setting, and report the progress of runs

LookAhead = true in the section [Scheduling] enables reservations in the leader. Expected ends need the progress of runs, which the leader learned only with a new checkpoint: with the setting, an agent reports once a second each run whose percent has changed. Such a report leaves out a checkpoint that the leader has, since it may be long.

The leader logs TaskReserved and ReservationEnded, and counts both.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -83,6 +83,7 @@
 func newLeader(c *Coordinator, term int64, ls leaseState) *leader {
 	f := fleet.New(term)
 	f.RowBytes = c.settings.Store.RowLimit()
+	f.LookAhead = c.settings.Scheduling.LookAhead
 
 	return &leader{
 		c:     c,
@@ -592,6 +593,8 @@
 	for _, s := range l.fleet.Stalls() {
 		l.c.log.Warn("TaskStalled", zap.String("Job", s.Task.Job), zap.Stringer("Task", s.Task), zap.String("Node", s.Node))
 	}
+
+	l.logReservations()
 }
 
 // dispatch sends orders to the nodes. The caller holds l.mu.
--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -164,3 +164,37 @@
 	node  string
 	order gate.StartOrder
 }
+
+// BenchmarkProgress measures a report with the progress of 40 runs of a worker.
+func BenchmarkProgress(b *testing.B) {
+	f := New(1)
+	r := described("n1")
+	r.Capacity.MilliCores = 40_000
+	f.Report(0, "n1", r)
+	f.Add(0, 0, record(jobA, step(40)))
+	f.Schedule(0, time.Time{})
+
+	runs := make([]gate.Run, 40)
+	for i := range runs {
+		runs[i] = gate.Run{
+			Task: job.TaskID{
+				Job:   jobA,
+				Index: i,
+			},
+			Attempt:    1,
+			Confirmed:  true,
+			OrderKnown: true,
+		}
+	}
+
+	now := time.Second
+
+	for b.Loop() {
+		now += time.Second
+		for i := range runs {
+			runs[i].ProgressPercent = (runs[i].ProgressPercent + 1) % 100
+		}
+
+		f.Report(now, "n1", Report{Runs: runs})
+	}
+}
--- a/core/fleet/run_progress_test.go
+++ b/core/fleet/run_progress_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"trefoildeck/core/gate"
+	"trefoildeck/core/job"
 	"trefoildeck/core/lookahead"
 
 	"gotest.tools/v3/assert"
@@ -50,3 +52,26 @@
 	lasting.LongRunning = true
 	assert.Equal(t, (&run{step: &lasting}).expectedEnd(time.Hour), time.Duration(0))
 }
+
+// TestCheckpointKept guards against a task that starts anew after a move because reports of progress
+// don't repeat its checkpoint.
+func TestCheckpointKept(t *testing.T) {
+	f := New(1)
+	f.Add(0, 0, record(jobA, step(1)))
+	f.Report(0, "n1", described("n1"))
+	f.Schedule(0, time.Time{})
+
+	for i, c := range []string{"saved", ""} {
+		f.Report(time.Duration(i)*time.Second, "n1", Report{Runs: []gate.Run{{
+			Task:            job.TaskID{Job: jobA},
+			Attempt:         1,
+			Checkpoint:      c,
+			ProgressPercent: 10 * i,
+			Confirmed:       true,
+			OrderKnown:      true,
+		}}})
+	}
+
+	assert.Equal(t, f.jobs[jobA].steps[0].tasks[0].checkpoint, "saved")
+	assert.Equal(t, f.workers["n1"].runs[job.TaskID{Job: jobA}].progressPercent, 10)
+}
--- a/integration/hosted_deployment_test.go
+++ b/integration/hosted_deployment_test.go
@@ -307,7 +307,9 @@
 MemoryMB = 152
 [Store]
 Address = %s
-%s[Bounds]
+%s[Scheduling]
+LookAhead = true
+[Bounds]
 DrainGrace = 6s
 `, name, ip, node, h.storeAddress, worker)
 	file := filepath.Join(h.t.TempDir(), name+".ini")
--- a/io/peer/fleet.go
+++ b/io/peer/fleet.go
@@ -41,7 +41,7 @@
 		run := &peerpb.RunReport{
 			Task:       r.Task.String(),
 			Attempt:    int64(r.State.Attempt),
-			Checkpoint: r.State.Run.Checkpoint,
+			Checkpoint: r.checkpoint(),
 			Percent:    int64(r.State.Run.ProgressPercent),
 			Figure:     r.State.Run.Measurement,
 			Confirmed:  r.State.Phase == gate.Confirmed,
@@ -126,6 +126,18 @@
 	State *gate.RunState
 	// Stalled says that the run makes no progress although its pace allows it.
 	Stalled bool
+	// CheckpointKnown says that the leader has the run's checkpoint, which is left out.
+	CheckpointKnown bool
+}
+
+// checkpoint returns the checkpoint to be reported. The leader keeps the one that it has if it is
+// empty.
+func (r TaskRun) checkpoint() string {
+	if r.CheckpointKnown {
+		return ""
+	}
+
+	return r.State.Run.Checkpoint
 }
 
 // DecodeReport decodes a report from a node in dataCentre.
--- a/settings/node.go
+++ b/settings/node.go
@@ -18,6 +18,8 @@
 	Store  StoreSection
 	Worker NodeWorkerSection
 	Bounds BoundsSection
+
+	Scheduling SchedulingSection
 }
 
 // NodeSection is the section [Node].
@@ -79,6 +81,15 @@
 	DrainGrace time.Duration
 }
 
+// SchedulingSection is the section [Scheduling], which may be left out.
+type SchedulingSection struct {
+	// LookAhead enables reservations for tasks that no worker has room for.
+	LookAhead bool
+}
+
+// ReportsProgress reports whether an agent reports the progress of runs once a second.
+func (s SchedulingSection) ReportsProgress() bool { return s.LookAhead }
+
 // LoadNode reads and checks the settings of a process on the platform. CheckEntry and
 // CheckAgent check what one of the roles requires in addition.
 func LoadNode(file string) (Node, error) {
@@ -103,6 +114,7 @@
 		"Store":       &n.Store,
 		sectionWorker: &n.Worker,
 		"Bounds":      &n.Bounds,
+		"Scheduling":  &n.Scheduling,
 	}
 
 	for _, s := range declaration.Sections(file, data, &p) {
@@ -110,7 +122,7 @@
 
 		target, ok := targets[s.Name]
 		if !ok {
-			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds]")
+			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds], [Scheduling]")
 
 			continue
 		}
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -37,6 +37,10 @@
 		"RowBytes": {"Address = 10.200.1.7:8169", "Address = 10.200.1.7:8169\nRowBytes = 9", "RowBytes"},
 		"Section":  {"[Bounds]", "[Limits]", "Limits"},
 		"Key":      {"MemoryMB", "MemoryGB", "MemoryGB"},
+
+		"LookAhead":     {"[Bounds]", "[Scheduling]\nLookAhead = true\n[Bounds]", ""},
+		"LookAheadOnce": {"[Bounds]", "[Scheduling]\nLookAhead = once\n[Bounds]", "[Scheduling] LookAhead"},
+		"LookAheadKey":  {"[Bounds]", "[Scheduling]\nLookahead = true\n[Bounds]", "Lookahead"},
 	}
 
 	for name, c := range tests {
@@ -44,6 +48,8 @@
 			n, err := ParseNode("node.ini", []byte(strings.Replace(nodeText, c.old, c.new, 1)))
 			if c.want == "" {
 				assert.NilError(t, err)
+				assert.Equal(t, n.Scheduling.LookAhead, strings.Contains(c.new, "LookAhead = true"), "it is off by default")
+				assert.Equal(t, n.Scheduling.ReportsProgress(), n.Scheduling.LookAhead)
 				assert.NilError(t, n.CheckAgent("node.ini"))
 				assert.ErrorContains(t, n.CheckEntry("node.ini"), "CallerAddress")
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -69,9 +69,9 @@
 	// repeats limits the log lines about starts that were refused and about malformed
 	// entries of listings.
 	repeats jsonlog.Repeats
-	// reported has the runs that were reported to the leader as started, with the
-	// last reported checkpoint.
-	reported map[job.TaskID]string
+	// reported has the runs that were reported to the leader as started, with what was
+	// reported last.
+	reported map[job.TaskID]reportedRun
 	// stopping has the stop orders that are being carried out.
 	stopping map[stopOrder]bool
 	// starts has the starts that wait to be sent, and starting is the number of goroutines that
@@ -110,7 +110,7 @@
 		gate:      gate.New(),
 		learner:   interference.New(),
 		pings:     map[uint64]time.Duration{},
-		reported:  map[job.TaskID]string{},
+		reported:  map[job.TaskID]reportedRun{},
 		stopping:  map[stopOrder]bool{},
 		stopSlots: make(chan struct{}, platform.MaxConcurrentStops),
 		listNow:   make(chan struct{}, 1),
@@ -346,29 +346,9 @@
 }
 
 // sendStatus reports runs that started or stalled or whose orders are unknown, new
-// checkpoints, the latencies of serving tasks, and new interference estimates.
+// checkpoints and progress, the latencies of serving tasks, and new interference estimates.
 func (s *Sidecar) sendStatus() {
-	var runs []peer.TaskRun
-
-	now := boottime.Now()
-
-	for t, e := range s.gate.Runs {
-		c := e.Run.Checkpoint
-		checkpoint, known := s.reported[t]
-		serves := e.OrderKnown && e.Order.Target > 0
-		stalled := e.Stalled(now)
-
-		if e.Phase != gate.Confirmed || (known && checkpoint == c && !serves && !stalled && e.OrderKnown) {
-			continue
-		}
-
-		s.reported[t] = c
-		runs = append(runs, peer.TaskRun{
-			Task:    t,
-			State:   e,
-			Stalled: stalled,
-		})
-	}
+	runs := s.changedRuns()
 
 	for t := range s.reported {
 		if s.gate.Runs[t] == nil {
