--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -59,7 +59,9 @@
 
 		w := f.chooseWorker(now, j, s, t)
 		if w == nil {
-			f.reserve(now, j, s, t, j.taskID(i, k))
+			if f.LookAhead {
+				f.reserve(now, j, s, t, j.taskID(i, k))
+			}
 			// The tasks of a step are identical, so no other one fits either.
 			return
 		}
@@ -72,7 +74,11 @@
 // chooseWorker returns the feasible worker with the highest score for a task, or
 // nil. Ties go to the first node name.
 func (f *Fleet) chooseWorker(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo) *workerInfo {
-	c := f.reachStep(j, s)
+	c := constraintsOf(j, s.spec)
+	if f.ahead.plan.Len() > 0 {
+		f.reachStep(j, s, &c)
+	}
+
 	if f.rejected.covers(c, s.spec.Size) {
 		return nil
 	}
--- a/core/fleet/rejected_sizes.go
+++ b/core/fleet/rejected_sizes.go
@@ -19,8 +19,9 @@
 	jobIdle bool
 	// reservation is the number of the step's reservation, if it has one, and runTime the number of
 	// binary digits of a task's estimated run time in milliseconds. They are set while there are
-	// reservations, since a worker that is kept for one task may be used by another.
-	reservation, runTime int
+	// reservations, since a worker that is kept for one task may be used by another. As bytes, they
+	// make the struct no larger, which is compared for each waiting task.
+	reservation, runTime uint8
 }
 
 func constraintsOf(j *jobInfo, s *job.Step) constraints {
--- a/core/fleet/reservations.go
+++ b/core/fleet/reservations.go
@@ -175,7 +175,7 @@
 // reserve makes a reservation for a task that no worker has room for, unless that is of no use:
 // no room has to be kept, or no worker is expected to have any.
 func (f *Fleet) reserve(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo, id job.TaskID) {
-	if !f.LookAhead || now < s.searchAt || !f.maySearch(now) || !f.ahead.plan.HasRoomFor(j.record.Priority) {
+	if now < s.searchAt || !f.maySearch(now) || !f.ahead.plan.HasRoomFor(j.record.Priority) {
 		return
 	}
 
@@ -321,16 +321,10 @@
 	}
 }
 
-// reachStep records that the pass has come to a step, and returns its constraints. While there are
-// reservations, these tell the step that has one from others, and tasks from those that take
-// twice as long, which may be kept from other workers.
-func (f *Fleet) reachStep(j *jobInfo, s *stepInfo) constraints {
-	c := constraintsOf(j, s.spec)
-
-	if f.ahead.plan.Len() > 0 {
-		c.reservation = f.ahead.plan.Reach(reservationKey(j, s))
-		c.runTime = bits.Len64(uint64(max(0, s.spec.Estimate.Milliseconds())))
-	}
-
-	return c
+// reachStep records that the pass has come to a step, and completes its constraints, which while
+// there are reservations tell the step that has one from others, and tasks from those that take
+// twice as long and may be kept from other workers.
+func (f *Fleet) reachStep(j *jobInfo, s *stepInfo, c *constraints) {
+	c.reservation = uint8(f.ahead.plan.Reach(reservationKey(j, s)))
+	c.runTime = uint8(bits.Len64(uint64(max(0, s.spec.Estimate.Milliseconds()))))
 }
