--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -53,10 +53,10 @@
 	waiting int
 	// perWorker counts the active tasks of the step by worker, for anti-affinity.
 	perWorker map[*workerInfo]int
-	// searchAt is the earliest time of the next search for a reservation. reservedLate means that
-	// one was late since the last start of a task of the step.
-	searchAt     time.Duration
-	reservedLate bool
+	// searchAt is the earliest time of the next search for a reservation. reserved means that there
+	// is one, and reservedLate that one was late since the last start of a task of the step.
+	searchAt               time.Duration
+	reserved, reservedLate bool
 }
 
 func (s *stepInfo) complete() bool { return s.done == len(s.tasks) }
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -60,7 +60,7 @@
 		w := f.chooseWorker(now, j, s, t)
 		if w == nil {
 			if f.LookAhead {
-				f.reserve(now, j, s, t, j.taskID(i, k))
+				f.reserve(now, j, i, k)
 			}
 			// The tasks of a step are identical, so no other one fits either.
 			return
--- a/core/fleet/reservations.go
+++ b/core/fleet/reservations.go
@@ -150,6 +150,7 @@
 	}
 
 	if _, s := f.reservedStep(r); s != nil {
+		s.reserved = false
 		// A task that was outranked meanwhile still can't trust the expected ends.
 		s.reservedLate = why == ReservationLate || (s.reservedLate && why != ReservationUsed)
 	}
@@ -172,10 +173,13 @@
 	}
 }
 
-// reserve makes a reservation for a task that no worker has room for, unless that is of no use:
-// no room has to be kept, or no worker is expected to have any.
-func (f *Fleet) reserve(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo, id job.TaskID) {
-	if now < s.searchAt || !f.maySearch(now) || !f.ahead.plan.HasRoomFor(j.record.Priority) {
+// reserve makes a reservation for a task of a step that no worker has room for, unless that is of
+// no use: no room has to be kept, or no worker is expected to have any.
+func (f *Fleet) reserve(now time.Duration, j *jobInfo, step, index int) {
+	s := &j.steps[step]
+	t := &s.tasks[index]
+
+	if s.reserved || now < s.searchAt || !f.maySearch(now) || !f.ahead.plan.HasRoomFor(j.record.Priority) {
 		return
 	}
 
@@ -232,10 +236,11 @@
 		return
 	}
 
+	s.reserved = true
 	w.reserved = reservedRoom{held: true}
 	f.ahead.made = append(f.ahead.made, Reservation{
 		Node:    w.node,
-		Task:    id,
+		Task:    j.taskID(step, index),
 		Wait:    fit.At - now,
 		Lacking: lacking(w.room(fills), need),
 	})
@@ -304,12 +309,10 @@
 // settle ends the reservation of a step of which a task is about to start on a worker, and the
 // worker's own if the task delays it.
 func (f *Fleet) settle(now time.Duration, j *jobInfo, s *stepInfo, w *workerInfo) {
-	if f.ahead.plan.Len() == 0 {
-		return
-	}
-
-	if r, ok := f.ahead.plan.Release(reservationKey(j, s)); ok {
-		f.endReservation(now, r, ReservationUsed)
+	if s.reserved {
+		if r, ok := f.ahead.plan.Release(reservationKey(j, s)); ok {
+			f.endReservation(now, r, ReservationUsed)
+		}
 	}
 
 	if !w.reserved.held {
@@ -325,6 +328,9 @@
 // there are reservations tell the step that has one from others, and tasks from those that take
 // twice as long and may be kept from other workers.
 func (f *Fleet) reachStep(j *jobInfo, s *stepInfo, c *constraints) {
-	c.reservation = uint8(f.ahead.plan.Reach(reservationKey(j, s)))
+	if s.reserved {
+		c.reservation = uint8(f.ahead.plan.Reach(reservationKey(j, s)))
+	}
+
 	c.runTime = uint8(bits.Len64(uint64(max(0, s.spec.Estimate.Milliseconds()))))
 }
