Merge look-ahead placement

Cause: small tasks take each piece of room as soon as a run ends, so that large ones wait long. Change: reservations with backfill (core/lookahead), behind the setting LookAhead.

--- /dev/null
+++ b/core/fleet/run_progress_test.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"trefoildeck/core/gate"
+	"trefoildeck/core/job"
+	"trefoildeck/core/lookahead"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestRunProgress guards against an expected end that counts the progress of an earlier run, or the
+// time before a new leader found the run, as this run's speed.
+func TestRunProgress(t *testing.T) {
+	const started = 10 * time.Second
+
+	tests := map[string]struct {
+		resumed  bool
+		readings []lookahead.Reading
+		want     time.Duration
+	}{
+		"None":         {false, nil, started + 4*time.Second},
+		"ResumedNone":  {true, nil, started + 4*time.Second},
+		"FromStart":    {false, []lookahead.Reading{{At: started + time.Second, Percent: 10}}, started + 10*time.Second},
+		"Resumed":      {true, []lookahead.Reading{{At: started + time.Second, Percent: 60}, {At: started + 2*time.Second, Percent: 70}}, started + 5*time.Second},
+		"Found":        {false, []lookahead.Reading{{At: started, Percent: 25}}, started + 3*time.Second},
+		"FoundAtSpeed": {false, []lookahead.Reading{{At: started, Percent: 50}, {At: started + 2*time.Second, Percent: 60}}, started + 10*time.Second},
+		"Unchanged":    {false, []lookahead.Reading{{At: started + time.Second, Percent: 10}, {At: started + 2*time.Second, Percent: 10}}, started + 10*time.Second},
+		"WentBack":     {false, []lookahead.Reading{{At: started + time.Second, Percent: 50}, {At: started + 2*time.Second, Percent: 25}}, started + 3*time.Second},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := sized(1, 1, 4*time.Second)
+			r := run{
+				step:     &s,
+				started:  started,
+				progress: runProgress{resumed: c.resumed},
+			}
+
+			for _, p := range c.readings {
+				r.recordProgress(p.At, p.Percent)
+			}
+
+			assert.Equal(t, r.expectedEnd(started+2*time.Second), c.want)
+		})
+	}
+
+	lasting := sized(1, 1, time.Second)
+	lasting.LongRunning = true
+	assert.Equal(t, (&run{step: &lasting}).expectedEnd(time.Hour), time.Duration(0))
+}
+
+// TestCheckpointKept guards against a task that starts anew after a move because reports of progress
+// don't repeat its checkpoint.
+func TestCheckpointKept(t *testing.T) {
+	f := New(1)
+	f.Add(0, 0, record(jobA, step(1)))
+	f.Report(0, "n1", described("n1"))
+	f.Schedule(0, time.Time{})
+
+	for i, c := range []string{"saved", ""} {
+		f.Report(time.Duration(i)*time.Second, "n1", Report{Runs: []gate.Run{{
+			Task:            job.TaskID{Job: jobA},
+			Attempt:         1,
+			Checkpoint:      c,
+			ProgressPercent: 10 * i,
+			Confirmed:       true,
+			OrderKnown:      true,
+		}}})
+	}
+
+	assert.Equal(t, f.jobs[jobA].steps[0].tasks[0].checkpoint, "saved")
+	assert.Equal(t, f.workers["n1"].runs[job.TaskID{Job: jobA}].progressPercent, 10)
+}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -68,6 +68,9 @@
 	// pauses of agents, so that some are.
 	absences    bool
 	longerPause time.Duration
+	// crowded says that tasks have up to the size of a worker, so that many wait, and that leaders
+	// look ahead.
+	crowded bool
 }
 
 // maxRestartDelay is the time after the listing of a success in which its task may start
