Order waiting jobs by what can still be useful, and judge submissions by the backlog

In the order of their deadlines, a queue that outgrows the workers makes all jobs late, and nothing is refused that can't end while its result is useful.

The objective of a job and what lasts are now functions of job.Record, which package fleet uses too, and estimates count up to 30 days, so that sums of them don't overflow.

--- /dev/null
+++ b/core/backlog/shares.go
@@ -0,0 +1,110 @@
+package backlog
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shareDecay is the time constant with which received service is forgotten. It is longer than
+	// the bursts, of 7 s, and an account that was busy before them is not held back for long.
+	shareDecay = 10 * time.Second
+	// agedTurns is the reciprocal of the share of the service that goes to the job that has
+	// waited longest.
+	agedTurns = 8
+	// maxIdleAccounts is the number of accounts above which those whose service has decayed are
+	// forgotten.
+	maxIdleAccounts = 256
+)
+
+// Shares has the service that client accounts have received, which decays. It is not safe for
+// concurrent use.
+type Shares struct {
+	accounts map[string]*decaying
+	turns    map[int]*turns
+}
+
+// turns is the service that the jobs of a priority received.
+type turns struct {
+	// all is the service of all jobs, and aged that of jobs that had waited longest.
+	all, aged decaying
+	// oldest is the job that had waited longest when Order was last called.
+	oldest string
+}
+
+// NewShares returns shares without any service.
+func NewShares() *Shares {
+	return &Shares{
+		accounts: map[string]*decaying{},
+		turns:    map[int]*turns{},
+	}
+}
+
+// Add records that tasks of a job were placed, with the work of these tasks.
+func (s *Shares) Add(now time.Duration, j Job, work int64) {
+	// Tasks without an estimate take turns too.
+	w := float64(max(1, work))
+
+	a := s.accounts[j.Account]
+	if a == nil {
+		s.forgetIdle(now)
+
+		a = &decaying{}
+		s.accounts[j.Account] = a
+	}
+
+	a.add(now, w)
+
+	t := s.turnsOf(j.Priority)
+	t.all.add(now, w)
+
+	if j.ID == t.oldest {
+		t.aged.add(now, w)
+	}
+}
+
+// Received returns the service, as decayed work, that an account has received.
+func (s *Shares) Received(now time.Duration, account string) float64 {
+	if a := s.accounts[account]; a != nil {
+		return a.at(now)
+	}
+
+	return 0
+}
+
+func (s *Shares) turnsOf(priority int) *turns {
+	t := s.turns[priority]
+	if t == nil {
+		t = &turns{}
+		s.turns[priority] = t
+	}
+
+	return t
+}
+
+func (s *Shares) forgetIdle(now time.Duration) {
+	if len(s.accounts) < maxIdleAccounts {
+		return
+	}
+
+	for name, a := range s.accounts {
+		if a.at(now) < 1 {
+			delete(s.accounts, name)
+		}
+	}
+}
+
+// decaying is a sum whose terms decay with the time constant shareDecay.
+type decaying struct {
+	sum  float64
+	last time.Duration
+}
+
+func (d *decaying) at(now time.Duration) float64 {
+	return d.sum * math.Exp(-float64(max(0, now-d.last))/float64(shareDecay))
+}
+
+func (d *decaying) add(now time.Duration, v float64) {
+	d.sum = d.at(now) + v
+	d.last = now
+}
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
 )
@@ -111,9 +112,6 @@
 	return j
 }
 
-// usefulObjectives is the time for which a result is useful, as a multiple of the objective.
-const usefulObjectives = 3
-
 // tooLate reports whether a job can't be finished while its result is useful. A job that has
 // started may have little left to do.
 func (j *jobInfo) tooLate(now time.Duration) bool {
@@ -132,11 +130,11 @@
 		return false
 	}
 
-	objective := time.Duration(float64(r.Spec.CriticalPath())*r.Stretch) + r.TargetLatency
+	objective := r.Objective()
 	j := newJob(r, now-age+objective)
 
-	j.expires = r.Spec.Repeat == 0 && !slices.ContainsFunc(r.Spec.Steps, func(s job.Step) bool { return s.LongRunning })
-	j.usefulUntil = now - age + usefulObjectives*objective
+	j.expires = !r.Lasting()
+	j.usefulUntil = now - age + backlog.UsefulObjectives*objective
 	j.startBy = j.usefulUntil - r.Spec.CriticalPath()
 
 	f.jobs[r.ID] = j
--- a/core/job/job.go
+++ b/core/job/job.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +26,8 @@
 	// MaxSteps and MaxTasks bound the scheduler memory that one job takes.
 	MaxSteps = 100
 	MaxTasks = 10_000
+	// MaxRunTime is the longest estimate that counts, so that sums of estimates don't overflow.
+	MaxRunTime = 30 * 24 * time.Hour
 )
 
 // ErrInvalid is wrapped by the errors for an invalid spec and an invalid task ID.
@@ -93,6 +96,10 @@
 	MayMiss int `json:",omitempty"`
 }
 
+// RunTime returns the estimated run time of one task, which is neither negative nor above
+// MaxRunTime.
+func (s *Step) RunTime() time.Duration { return min(max(s.Estimate, 0), MaxRunTime) }
+
 // Spec is a job as a caller submits it.
 type Spec struct {
 	Text  string
@@ -119,6 +126,17 @@
 	Spec     Spec
 }
 
+// Objective returns the time from acceptance after which the job is late.
+func (r *Record) Objective() time.Duration {
+	return time.Duration(float64(r.Spec.CriticalPath())*r.Stretch) + r.TargetLatency
+}
+
+// Lasting reports whether the job runs until it is cancelled, or at set times, so that its result
+// is useful at any time.
+func (r *Record) Lasting() bool {
+	return r.Spec.Repeat > 0 || slices.ContainsFunc(r.Spec.Steps, func(s Step) bool { return s.LongRunning })
+}
+
 // State is the state of a job as callers see it.
 type State string
 
@@ -253,9 +271,26 @@
 			begin = max(begin, ends[a])
 		}
 
-		ends[i] = begin + p.Estimate
+		ends[i] = begin + p.RunTime()
 		longest = max(longest, ends[i])
 	}
 
 	return longest
 }
+
+// PathsFrom returns, for each step, the estimated time from its start to the end of the longest
+// chain of dependent steps that begins with it. The spec must be valid.
+func (s Spec) PathsFrom() []time.Duration {
+	paths := make([]time.Duration, len(s.Steps))
+
+	// Steps depend only on earlier ones, so that a step is complete when its turn comes.
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		paths[i] += s.Steps[i].RunTime()
+
+		for _, a := range s.Steps[i].After {
+			paths[a] = max(paths[a], paths[i])
+		}
+	}
+
+	return paths
+}
