Sort open jobs by the order of package backlog if Order is Fair

The order of package backlog had no caller. With Fleet.Order set to backlog.Fair, a pass sorts by it and each start is counted as service of the account of its job, the host of its queue; with the default the order is the previous one. A start is counted when it is ordered, so that a gang that doesn't fit as a whole is not charged. TestOverload now runs with both orders and passes with both.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -29,6 +29,7 @@
 	"slices"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/config"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/interference"
@@ -84,6 +85,8 @@
 	Out map[string]bool
 	// RowBytes is the limit of the value of a row of progress.
 	RowBytes int
+	// Order is the order of waiting jobs within a priority.
+	Order backlog.Policy
 
 	term    int64
 	jobs    map[string]*jobInfo
@@ -116,6 +119,8 @@
 	changed, laterChanged map[string]*jobInfo
 	endMarks, laterMarks  map[string]endMark
 
+	fair fairOrder
+
 	quarantines []Quarantine
 	stalls      []Stall
 	losses      []Loss
@@ -147,6 +152,8 @@
 		endMarks:     map[string]endMark{},
 		laterMarks:   map[string]endMark{},
 
+		fair: fairOrder{shares: backlog.NewShares()},
+
 		Interference: interference.NewPool(),
 	}
 }
@@ -207,12 +214,18 @@
 	return orders
 }
 
-// sortOpen drops the jobs that are over and sorts the others by priority, then by
-// deadline. Jobs that are too late come last within their priority: before those that can
+// sortOpen drops the jobs that are over and sorts the others by priority, then as Order says, by
+// default by deadline. Jobs that are too late come last within their priority: before those that can
 // still be finished in time, they would make all of them late when there are too many.
 func (f *Fleet) sortOpen(now time.Duration) {
 	f.open = slices.DeleteFunc(f.open, func(j *jobInfo) bool { return j.state.Final() && j.active == 0 })
 
+	if f.Order == backlog.Fair {
+		f.sortFairly(now)
+
+		return
+	}
+
 	for _, j := range f.open {
 		j.lateness = 0
 		if j.tooLate(now) {
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -52,6 +52,8 @@
 	done  int
 	// waiting is the number of tasks in the phase waiting.
 	waiting int
+	// lastStarted is when a task of the step was last placed.
+	lastStarted time.Duration
 	// perWorker counts the active tasks of the step by worker, for anti-affinity.
 	perWorker map[*workerInfo]int
 }
@@ -71,8 +73,11 @@
 	// previous leader may have started its tasks.
 	loaded bool
 	// active is the number of tasks in the phase active: they run or may run.
-	active   int
-	deadline time.Duration
+	active             int
+	accepted, deadline time.Duration
+	accountInfo
+	// paths has the estimated time from the start of each step of an occurrence to its end.
+	paths []time.Duration
 	// usefulUntil is when callers no longer have a use for the result, if expires is set. A job
 	// that has not started by startBy isn't finished by then.
 	expires              bool
@@ -92,6 +97,7 @@
 		state:        job.Queued,
 		durableState: job.Queued,
 		deadline:     deadline,
+		paths:        r.Spec.PathsFrom(),
 		steps:        make([]stepInfo, len(r.Spec.Steps)*max(1, r.Spec.Repeat)),
 		dirty:        map[rowName]bool{},
 		stored:       map[rowName]bool{},
@@ -133,6 +139,7 @@
 	objective := r.Objective()
 	j := newJob(r, now-age+objective)
 
+	j.accepted = now - age
 	j.expires = !r.Lasting()
 	j.usefulUntil = now - age + backlog.UsefulObjectives*objective
 	j.startBy = j.usefulUntil - r.Spec.CriticalPath()
--- a/core/fleet/overload_test.go
+++ b/core/fleet/overload_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
 
@@ -14,6 +15,14 @@
 // TestOverload checks that a fleet with capacity for half of the jobs serves a quarter of them in
 // time. All were finished too late, in the order of their deadlines.
 func TestOverload(t *testing.T) {
+	for _, o := range []backlog.Policy{backlog.ByDeadline, backlog.Fair} {
+		t.Run(string(o), func(t *testing.T) { runOverload(t, o) })
+	}
+}
+
+func runOverload(t *testing.T, order backlog.Policy) {
+	t.Helper()
+
 	const (
 		tick     = 50 * time.Millisecond
 		period   = 250 * time.Millisecond
@@ -25,6 +34,7 @@
 	)
 
 	f := New(1)
+	f.Order = order
 	accepted, ends := map[string]time.Duration{}, map[job.TaskID]time.Duration{}
 	submitted, served := 0, 0
 
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -258,6 +258,7 @@
 	o := f.ordersFor(t.worker)
 	o.Starts = append(o.Starts, f.startOrder(j, s, t, id))
 	o.Placements = append(o.Placements, placement)
+	f.recordService(j, s, t.worker.runs[id])
 }
 
 // placement returns the data on a worker for the log of a placement.
@@ -287,6 +288,7 @@
 	t.worker = w
 	s.waiting--
 	s.perWorker[w]++
+	s.lastStarted = now
 	j.active++
 	w.addRun(now, id, attempt, s.spec)
 }
