Make room for tasks of priority 0 by stopping less urgent runs

A task of priority 0 waited for the end of tasks of a lower priority that held the memory or the processor time of all workers that it could run on.

With Fleet.Preemption, the pass that finds no worker for such a task stops the cheapest of those runs on one worker: runs with checkpoints first, then those that have worked least, none that lasts and no member of a gang, each task at most once in 10 s. Until the urgent task is placed, or for 3 s, nothing less urgent starts there. A stop that isn't carried out is ordered again after 3 s, on another worker if there is one. A pass makes at most 8 searches over the workers, and none for 250 ms for a size for which there was no room to be made. Off by default.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -87,6 +87,8 @@
 	RowBytes int
 	// Order is the order of waiting jobs within a priority.
 	Order backlog.Policy
+	// Preemption means that less urgent runs are stopped to make room for tasks of priority 0.
+	Preemption bool
 
 	term    int64
 	jobs    map[string]*jobInfo
@@ -119,7 +121,8 @@
 	changed, laterChanged map[string]*jobInfo
 	endMarks, laterMarks  map[string]endMark
 
-	fair fairOrder
+	fair       fairOrder
+	preemption preemption
 
 	quarantines []Quarantine
 	stalls      []Stall
@@ -279,6 +282,10 @@
 		earlier(w.refusals.until)
 	}
 
+	for _, t := range f.nextRoomChange(now) {
+		earlier(t)
+	}
+
 	for _, j := range f.open {
 		for _, t := range j.retryTimes {
 			earlier(t)
--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -40,6 +40,10 @@
 		"resignations":  {resign: 0.4, killAgent: 0.2, cut: 0.8, loseWrite: 0.4, maxDelay: 100 * time.Millisecond},
 		"pauses inside": {pauseInside: 0.01, resign: 0.1, silent: 0.1, loseCall: 0.05, maxDelay: 100 * time.Millisecond},
 		"small rows":    {killEntry: 0.1, resign: 0.2, cut: 0.2, crash: 0.1, loseWrite: 0.2, maxDelay: 50 * time.Millisecond, smallRows: true},
+		"preemption": {
+			killAgent: 0.1, killEntry: 0.1, resign: 0.1, cut: 0.2, crash: 0.05, silent: 0.1, loseCall: 0.1, loseWrite: 0.1,
+			maxDelay: 50 * time.Millisecond, preemption: true,
+		},
 		"together": {
 			killAgent: 0.15, killAllAgents: 0.02, killAllEntries: 0.02, pauseAgent: 0.15, killEntry: 0.08, pauseEntry: 0.1, resign: 0.1, cut: 0.3,
 			crash: 0.08, silent: 0.15, leave: 0.03, loseCall: 0.05, loseWrite: 0.1, pauseInside: 0.003, maxDelay: 200 * time.Millisecond,
@@ -216,6 +220,11 @@
 			Steps: []job.Step{step(), step(0)},
 		},
 	}
+
+	if w.faults.preemption {
+		r.Priority = 2 * (len(w.jobs) % 2)
+	}
+
 	w.store.version++
 	w.jobs = append(w.jobs, jobRow{
 		record:   r,
@@ -231,7 +240,12 @@
 		}
 	}
 
-	w.at(w.now+w.between(1500*time.Millisecond, 4500*time.Millisecond), w.submitJobs)
+	interval := w.between(1500*time.Millisecond, 4500*time.Millisecond)
+	if w.faults.preemption {
+		interval /= 8
+	}
+
+	w.at(w.now+interval, w.submitJobs)
 }
 
 // injectFaults injects faults from now on, several times as many in some seconds as in
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -41,6 +41,8 @@
 	noteRow bool
 	// stalls is the number of runs of the task that stalled in this term.
 	stalls int
+	// preempted is set only for tasks that were preempted, or for which room was made.
+	preempted preempted
 }
 
 // stepInfo is the state of one occurrence of a step.
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -60,6 +60,8 @@
 		w := f.chooseWorker(now, j, s, t)
 		if w == nil {
 			// The tasks of a step are identical, so no other one fits either.
+			f.makeRoom(now, j, s, k)
+
 			return
 		}
 
@@ -114,6 +116,8 @@
 		return false
 	case w.service != j.record.Service:
 		return false
+	case w.clearing.keepsOut(now, j):
+		return false
 	case s.spec.Requires != "" && !slices.Contains(w.labels, s.spec.Requires):
 		return false
 	case s.spec.AntiAffinity > 0 && s.perWorker[w] >= s.spec.AntiAffinity:
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -40,6 +40,7 @@
 	refusals         refusals
 	quarantinedUntil time.Duration
 	movedAt          time.Duration
+	clearing         clearing
 
 	// headrooms is the cached result of computeHeadrooms. It is valid for one
 	// generation of the interference estimates, and until headroomsStale is set by a
@@ -60,8 +61,8 @@
 	readAt        time.Duration
 	started       time.Duration
 	// slowSince is the time since which the pace has been at most slowPacePercent, or
-	// 0. stopAwaitedUntil is how long the end of the run is awaited after a stop for a move or an
-	// incomplete gang, 0 if none was ordered. The order or the session may have been lost.
+	// 0. stopAwaitedUntil is how long the end of the run is awaited after a stop for a move, a
+	// preemption or an incomplete gang, 0 if none was ordered. The order or the session may have been lost.
 	slowSince, stopAwaitedUntil time.Duration
 	// stalled means that the run makes no progress although its pace allows it.
 	stalled bool
--- a/core/fleet/world_leader_test.go
+++ b/core/fleet/world_leader_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/fleet"
 	"trefoildeck/core/job"
 	"trefoildeck/core/lease"
@@ -169,6 +170,10 @@
 		}
 
 		l.term, l.fleet = record.Term, fleet.New(record.Term)
+		if e.w.faults.preemption {
+			l.fleet.Order, l.fleet.Preemption = backlog.Fair, true
+		}
+
 		if e.w.faults.smallRows {
 			l.fleet.RowBytes = 1 << 10
 		}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -62,6 +62,9 @@
 	maxDelay                         time.Duration
 	// smallRows says that rows are so small that a task that failed needs one of its own.
 	smallRows bool
+	// preemption says that leaders preempt and use the order backlog.Fair, and that more work of
+	// two priorities is submitted than the workers can do at once.
+	preemption bool
 }
 
 // maxRestartDelay is the time after the listing of a success in which its task may start
