Compute the backlog of each service and encode it for the entries

Entries know nothing of the work ahead of a submission, so that they can't refuse one.

Fleet.Loads adds up, by service, priority and account, the work that waits and runs, the kinds of tasks for which no worker has room, and the rate at which work is done while more waits. It says nothing until all nodes have reported. A submission is judged by the rate only if tasks of its kind wait, and by no less than the free processor time unless it only fills: a filling image that finds no room, or a label that no worker has, says nothing of other jobs. Nothing sends it yet.

--- a/core/backlog/backlog.go
+++ b/core/backlog/backlog.go
@@ -88,6 +88,12 @@
 	return now+j.Path <= end || (j.Started && now <= end)
 }
 
+// Waits reports whether tasks of a job wait for a worker while its result can still be useful, and
+// the job ends by itself.
+func (j *Job) Waits(now time.Duration) bool {
+	return j.Work > 0 && !j.Lasting && j.class(now) != late
+}
+
 // latestStart is the latest time at which the waiting tasks of a job that ends within its
 // objective start.
 func (j *Job) latestStart() time.Duration { return j.Deadline - j.Path }
@@ -117,5 +123,5 @@
 	return int64(min(w, maxWork))
 }
 
-// sum adds amounts of work.
-func sum(a, b int64) int64 { return min(a+b, maxWork) }
+// Sum adds amounts of work. It is bounded, so that sums of hostile sizes don't overflow.
+func Sum(a, b int64) int64 { return min(a+b, maxWork) }
--- a/core/backlog/load.go
+++ b/core/backlog/load.go
@@ -2,21 +2,14 @@
 
 import (
 	"cmp"
+	"hash/fnv"
+	"io"
 	"slices"
 	"time"
 
 	"trefoildeck/core/job"
 )
 
-const (
-	// MaxLoadAge is the age above which a load says nothing.
-	MaxLoadAge = 2 * time.Second
-	// MinRetryAfter is the shortest time after which a refused job may be submitted again.
-	MinRetryAfter = time.Second
-	// MaxRetryAfter is the longest one.
-	MaxRetryAfter = 30 * time.Second
-)
-
 // Parts is the number of parts into which the work of an account is divided by latest start. The
 // first has latest starts of up to firstStart from now, each further one those of up to a quarter
 // later, and the last one all others.
@@ -39,8 +32,9 @@
 	// At is the time at which the load was received.
 	At      time.Duration
 	Service string
-	// MilliCores is the processor time of the workers that may run tasks.
-	MilliCores int64
+	// MilliCores is the processor time of the workers that may run tasks, and FreeMilliCores what
+	// the sizes of their tasks leave of it.
+	MilliCores, FreeMilliCores int64
 	// Largest has the largest amount of each resource that a worker of the service has.
 	Largest job.Size
 	// Priorities is sorted by priority.
@@ -55,6 +49,8 @@
 	Rate int64
 	// Running is the remaining work of running tasks.
 	Running int64
+	// Kinds has the kinds of tasks that wait for a worker, in ascending order.
+	Kinds []uint32
 	// Accounts is sorted by name.
 	Accounts []AccountLoad
 }
@@ -69,190 +65,18 @@
 	Useful, Late int64
 }
 
-// Verdict is the decision on a submission.
-type Verdict struct {
-	Admit bool
-	// RetryAfter is the time after which the submission would be accepted, in whole seconds.
-	RetryAfter time.Duration
-	Reason     Reason
-	// Wait is the time that the work ahead of the job takes, and Limit the longest one after
-	// which its result would be useful. They are set if the reason is Overload.
-	Wait, Limit time.Duration
-}
-
-// Reason is why a submission is refused.
-type Reason string
-
-const (
-	// TooLarge means that a task is larger than any worker of the service.
-	TooLarge Reason = "TooLarge"
-	// Overload means that the work ahead of the job takes too long.
-	Overload Reason = "Overload"
-)
-
-// Sort brings the priorities and accounts into their order.
-func (l *Load) Sort() {
-	slices.SortFunc(l.Priorities, func(a, b PriorityLoad) int { return cmp.Compare(a.Priority, b.Priority) })
-
-	for i := range l.Priorities {
-		slices.SortFunc(l.Priorities[i].Accounts, func(a, b AccountLoad) int { return cmp.Compare(a.Account, b.Account) })
-	}
-}
-
-// Admit judges the submission of a job by an account. A job is refused only if its result is known
-// to be useless: a task fits no worker, or the job would have to wait until it can no longer end
-// while useful. It is admitted if it would start in time for its objective: then no job that
-// can end only after its objective is ahead of it.
-func (l *Load) Admit(now time.Duration, r *job.Record, account string) Verdict {
-	admitted := Verdict{Admit: true}
-
-	if now-l.At > MaxLoadAge {
-		return admitted
-	}
-
-	if slices.ContainsFunc(r.Spec.Steps, func(s job.Step) bool { return !l.fits(s) }) {
-		return Verdict{
-			RetryAfter: MaxRetryAfter,
-			Reason:     TooLarge,
-		}
-	}
-
-	objective, path := r.Objective(), r.Spec.CriticalPath()
-	latest, limit := objective-path, UsefulObjectives*objective-path
-
-	// A job that can't end while useful on idle workers either says nothing about the load.
-	if r.Lasting() || limit <= 0 {
-		return admitted
-	}
-
-	start, usefulStart := l.starts(r.Priority, account, latest)
-	start, usefulStart = start-(now-l.At), usefulStart-(now-l.At)
+// KindOf returns a number for the properties of a step's tasks, apart from their size, that decide on
+// which workers they find room. Those of filling tasks depend on their image.
+func KindOf(s *job.Step) uint32 {
+	h := fnv.New32a()
+	// Writing to a hash never fails.
+	_, _ = io.WriteString(h, s.Requires)
 
-	if start <= latest || usefulStart <= limit {
-		return admitted
-	}
-
-	return Verdict{
-		RetryAfter: retryAfter(min(start-latest, usefulStart-limit)),
-		Reason:     Overload,
-		Wait:       usefulStart,
-		Limit:      limit,
-	}
-}
-
-// retryAfter rounds a time up to whole seconds.
-func retryAfter(d time.Duration) time.Duration {
-	return min(max((d+time.Second-1).Truncate(time.Second), MinRetryAfter), MaxRetryAfter)
-}
-
-// fits reports whether a task of a step fits into the largest amounts of the resources of a
-// worker, which are not known if they are 0. Filling tasks need no processor time of their own.
-func (l *Load) fits(s job.Step) bool {
-	size := s.Size
 	if s.Fills {
-		size.MilliCores = 0
-	}
-
-	return l.Largest == job.Size{} || l.Largest.CanFit(size)
-}
-
-// starts returns the times for which the work ahead of a job takes: of jobs that can end within
-// their objective, and of all whose result can be useful.
-func (l *Load) starts(priority int, account string, latest time.Duration) (start, usefulStart time.Duration) {
-	var ahead, later, rate int64
-
-	for _, p := range l.Priorities {
-		if p.Priority > priority {
-			break
-		}
-
-		ahead, rate = sum(ahead, p.Running), p.Rate
-
-		if p.Priority < priority {
-			ahead = sum(ahead, p.waiting())
-			rate = 0
-
-			continue
-		}
-
-		a, b := p.ahead(account, latest)
-		ahead, later = sum(ahead, a), b
-	}
-
-	if rate == 0 {
-		rate = l.MilliCores
+		_, _ = io.WriteString(h, "\x00"+s.Image)
 	}
 
-	return duration(ahead, rate), duration(sum(ahead, later), rate)
-}
-
-// duration returns the time that some work takes at a rate; 0 if the rate is not known.
-func duration(work, rate int64) time.Duration {
-	if rate <= 0 {
-		return 0
-	}
-
-	// maxWork milliseconds are more than a duration holds.
-	const longest = 1000 * time.Hour
-
-	return time.Duration(min(float64(work)/float64(rate)*float64(time.Millisecond), float64(longest)))
-}
-
-// waiting returns the work of all waiting tasks, which those of a less urgent priority wait for.
-func (p *PriorityLoad) waiting() int64 {
-	var w int64
-
-	for _, a := range p.Accounts {
-		w = sum(w, a.total())
-	}
-
-	return w
-}
-
-// ahead returns the waiting work of the same priority that comes before a job with a latest start
-// as long as it can end within its objective, and what comes before it in addition later. Each
-// other account gets at most the service that the job's own gets.
-func (p *PriorityLoad) ahead(account string, latest time.Duration) (onTime, usefully int64) {
-	for _, a := range p.Accounts {
-		if a.Account == account {
-			onTime, usefully = a.before(partOf(latest)), a.Useful
-		}
-	}
-
-	turn, usefulTurn := onTime, sum(onTime, usefully)
-
-	for _, a := range p.Accounts {
-		if a.Account == account {
-			continue
-		}
-
-		w := a.before(Parts - 1)
-		first := min(w, turn)
-		onTime = sum(onTime, first)
-		usefully = sum(usefully, min(sum(w, a.Useful), usefulTurn)-first)
-	}
-
-	return onTime, usefully
-}
-
-// before returns the work of the jobs that can end within their objective and have an earlier
-// latest start. Those in the same part were accepted before, or are about as urgent.
-func (a *AccountLoad) before(part int) int64 {
-	var w int64
-	for _, v := range a.Waiting[:part+1] {
-		w = sum(w, v)
-	}
-
-	return w
-}
-
-func (a *AccountLoad) total() int64 {
-	w := sum(a.Useful, a.Late)
-	for _, part := range a.Waiting {
-		w = sum(w, part)
-	}
-
-	return w
+	return h.Sum32()
 }
 
 // Add adds the work of a job that was accepted since the load was received.
@@ -263,7 +87,7 @@
 
 	var work int64
 	for i := range r.Spec.Steps {
-		work = sum(work, Work(&r.Spec.Steps[i], r.Spec.Steps[i].Count, r.Spec.Steps[i].RunTime()))
+		work = Sum(work, Work(&r.Spec.Steps[i], r.Spec.Steps[i].Count, r.Spec.Steps[i].RunTime()))
 	}
 
 	l.Priority(r.Priority).AddWaiting(now, Job{
@@ -286,6 +110,10 @@
 
 // AddWaiting adds waiting work of a job.
 func (p *PriorityLoad) AddWaiting(now time.Duration, j Job, work int64) {
+	if work == 0 {
+		return
+	}
+
 	i, found := slices.BinarySearchFunc(p.Accounts, j.Account, func(a AccountLoad, n string) int { return cmp.Compare(a.Account, n) })
 	if !found {
 		p.Accounts = slices.Insert(p.Accounts, i, AccountLoad{Account: j.Account})
@@ -296,27 +124,29 @@
 	switch j.class(now) {
 	case onTime:
 		part := partOf(j.latestStart() - now)
-		a.Waiting[part] = sum(a.Waiting[part], work)
+		a.Waiting[part] = Sum(a.Waiting[part], work)
 	case useful:
-		a.Useful = sum(a.Useful, work)
+		a.Useful = Sum(a.Useful, work)
 	default:
-		a.Late = sum(a.Late, work)
+		a.Late = Sum(a.Late, work)
 	}
 }
 
 // AddRunning adds the remaining work of running tasks.
-func (p *PriorityLoad) AddRunning(work int64) { p.Running = sum(p.Running, work) }
+func (p *PriorityLoad) AddRunning(work int64) { p.Running = Sum(p.Running, work) }
 
-// Busy reports whether some work waits that can still be useful.
-func (p *PriorityLoad) Busy() bool {
-	return slices.ContainsFunc(p.Accounts, func(a AccountLoad) bool { return a.total() > a.Late })
+// AddKind adds the kind of tasks that wait for a worker.
+func (p *PriorityLoad) AddKind(kind uint32) {
+	if i, found := slices.BinarySearch(p.Kinds, kind); !found {
+		p.Kinds = slices.Insert(p.Kinds, i, kind)
+	}
 }
 
 // work returns all work of the service.
 func (l *Load) work() int64 {
 	var w int64
 	for i := range l.Priorities {
-		w = sum(w, sum(l.Priorities[i].Running, l.Priorities[i].waiting()))
+		w = Sum(w, Sum(l.Priorities[i].Running, l.Priorities[i].waiting()))
 	}
 
 	return w
@@ -333,13 +163,22 @@
 
 func differs(a, b int64) bool { return max(a, b)-min(a, b) > max(a, b)/changeDivisor }
 
-// Shorten drops the accounts with the least waiting work until at most n are left. Without
-// them, the load refuses less.
+// maxKinds is the largest number of kinds that Shorten leaves, together.
+const maxKinds = 64
+
+// Shorten drops the accounts with the least waiting work until at most n are left, and kinds above a
+// number. Without them, the load refuses less.
 func (l *Load) Shorten(n int) {
 	var totals []int64
 
+	kinds := maxKinds
+
 	for i := range l.Priorities {
-		for _, a := range l.Priorities[i].Accounts {
+		p := &l.Priorities[i]
+		p.Kinds = p.Kinds[:min(len(p.Kinds), kinds)]
+		kinds -= len(p.Kinds)
+
+		for _, a := range p.Accounts {
 			totals = append(totals, a.total())
 		}
 	}
@@ -349,9 +188,9 @@
 	}
 
 	slices.SortFunc(totals, func(a, b int64) int { return cmp.Compare(b, a) })
-	least := totals[n]
 
 	for i := range l.Priorities {
-		l.Priorities[i].Accounts = slices.DeleteFunc(l.Priorities[i].Accounts, func(a AccountLoad) bool { return a.total() <= least })
+		p := &l.Priorities[i]
+		p.Accounts = slices.DeleteFunc(p.Accounts, func(a AccountLoad) bool { return a.total() <= totals[n] })
 	}
 }
--- a/core/backlog/load_test.go
+++ b/core/backlog/load_test.go
@@ -26,6 +26,10 @@
 		steps := int64(o.steps-o.step-1)*int64(o.tasks) + int64(o.waiting)
 
 		q.AddWaiting(p.now, j, steps*o.milliCores*o.each.Milliseconds())
+		if o.waiting > 0 {
+			q.AddKind(KindOf(&o.record().Spec.Steps[0]))
+		}
+
 		q.AddRunning(int64(o.running) * o.milliCores * max(0, o.each-(p.now-o.placed)).Milliseconds())
 	}
 
@@ -80,6 +84,9 @@
 	assert.Assert(t, after >= admitted/2, "%d of %d admitted jobs useful", after, admitted)
 }
 
+// waitingKind is the kind of the tasks that submitted has.
+var waitingKind = KindOf(&job.Step{})
+
 // submitted returns the record of a filling job of the replays.
 func submitted() *job.Record { return (&replayed{kind: filling}).record() }
 
@@ -103,10 +110,39 @@
 			Deadline:    second,
 			UsefulUntil: time.Hour,
 		}, 100_000*took.Milliseconds())
+		l.Priority(2).AddKind(waitingKind)
 
 		return l
 	}
 
+	// What was done recently would take 58 s.
+	slow, free := ahead("a", 29*second), ahead("a", 29*second)
+	slow.Priority(2).Rate, free.Priority(2).Rate = 50_000, 50_000
+	free.FreeMilliCores = free.MilliCores
+
+	filled := ahead("a", time.Hour)
+	filled.FreeMilliCores = filled.MilliCores
+	filled.Priority(2).AddKind(KindOf(&job.Step{
+		Fills: true,
+		Image: "f1",
+	}))
+
+	// fill makes the tasks of a job filling tasks of an image.
+	fill := func(image string) func(*job.Record) {
+		return func(r *job.Record) {
+			for i := range r.Spec.Steps {
+				r.Spec.Steps[i].Fills, r.Spec.Steps[i].Image = true, image
+			}
+		}
+	}
+
+	overloaded := Verdict{
+		RetryAfter: MaxRetryAfter,
+		Reason:     Overload,
+		Wait:       time.Hour,
+		Limit:      limit,
+	}
+
 	tests := map[string]struct {
 		load   *Load
 		now    time.Duration
@@ -121,12 +157,21 @@
 			Wait:       limit + 1500*time.Millisecond,
 			Limit:      limit,
 		}},
-		"LongOverload": {ahead("a", time.Hour), 0, nil, Verdict{
-			RetryAfter: MaxRetryAfter,
+		"LongOverload": {ahead("a", time.Hour), 0, nil, overloaded},
+		"Slow": {slow, 0, nil, Verdict{
+			RetryAfter: 28 * second,
 			Reason:     Overload,
-			Wait:       time.Hour,
+			Wait:       58 * second,
 			Limit:      limit,
 		}},
+		// What waits has no use for the free workers, but the job may have.
+		"FreeWorkers": {free, 0, nil, Verdict{Admit: true}},
+		// Free processor time doesn't mean room for a filling task.
+		"FillingImage":      {filled, 0, fill("f1"), overloaded},
+		"OtherFillingImage": {filled, 0, fill("f2"), Verdict{Admit: true}},
+		"OtherLabel": {ahead("a", time.Hour), 0, func(r *job.Record) {
+			r.Spec.Steps[0].Requires, r.Spec.Steps[1].Requires = "x", "x"
+		}, Verdict{Admit: true}},
 		// Since the load was received, some of the work has been done.
 		"Aged": {ahead("a", limit+second), 1500 * time.Millisecond, nil, Verdict{Admit: true}},
 		"Old":  {ahead("a", time.Hour), MaxLoadAge + 1, nil, Verdict{Admit: true}},
@@ -178,6 +223,7 @@
 	for took := 31 * second; took < time.Minute; took += 700 * time.Millisecond {
 		load := func(after time.Duration) *Load {
 			l := &Load{MilliCores: 1000}
+			l.Priority(2).AddKind(waitingKind)
 			l.Priority(2).AddRunning(1000 * (took - after).Milliseconds())
 
 			return l
@@ -206,11 +252,13 @@
 	}}
 
 	l := &Load{MilliCores: 100_000}
+	l.Priority(2).AddKind(waitingKind)
 	l.Add(0, large, "a")
 	assert.Equal(t, l.Admit(0, submitted(), "a"), Verdict{Admit: true})
 
 	// Nor when it is late.
 	l = &Load{MilliCores: 100_000}
+	l.Priority(2).AddKind(waitingKind)
 	l.Priority(2).AddWaiting(0, Job{
 		Account:  "a",
 		Path:     time.Hour,
@@ -228,6 +276,8 @@
 // burst within the period of the loads is not accepted as a whole.
 func TestAdded(t *testing.T) {
 	l := &Load{MilliCores: 100_000}
+	l.Priority(2).AddKind(waitingKind)
+
 	n := 0
 
 	for ; n < 1000 && l.Admit(0, submitted(), "a").Admit; n++ {
@@ -260,6 +310,9 @@
 	// An idle time leaves the rate as it was, until it is forgotten.
 	r.Update(now+4*second, 0, false)
 	assert.Equal(t, r.MilliCores(now+4*second), int64(1))
+	// Nor does a time without updates count, such as that of a new leader that awaits reports.
+	r.Update(now+6*second, 0, true)
+	assert.Equal(t, r.MilliCores(now+4*second), int64(1))
 	r.Update(now+time.Minute, 0, false)
 	assert.Equal(t, r.MilliCores(now+time.Minute), int64(0))
 }
@@ -267,11 +320,16 @@
 // TestShorten checks that the accounts with the least work are dropped.
 func TestShorten(t *testing.T) {
 	l := &Load{}
+	for k := range 2 * maxKinds {
+		l.Priority(k % 2).AddKind(uint32(k))
+	}
+
 	for i, name := range []string{"a", "b", "c", "d"} {
 		l.Priority(i%2).AddWaiting(0, Job{Account: name}, int64(100*(i+1)))
 	}
 
 	l.Shorten(4)
+	assert.Equal(t, len(l.Priorities[0].Kinds)+len(l.Priorities[1].Kinds), maxKinds)
 	assert.Equal(t, len(l.Priorities[0].Accounts)+len(l.Priorities[1].Accounts), 4)
 	l.Shorten(1)
 	assert.Equal(t, len(l.Priorities[0].Accounts), 0)
--- a/core/backlog/rate.go
+++ b/core/backlog/rate.go
@@ -6,6 +6,10 @@
 // a burst have not ended before.
 const minBusy = shareDecay / 2
 
+// maxPeriod is the longest time between two updates that counts: after a longer one, it is not known
+// whether work has waited throughout.
+const maxPeriod = time.Second
+
 // Rate measures at which rate work is done while more of it waits. At other times, the rate says
 // how much was asked for and not how much can be done. Its zero value is ready for use.
 type Rate struct {
@@ -17,7 +21,7 @@
 // Update records the work that was done since the last call, and whether more work has waited
 // meanwhile.
 func (r *Rate) Update(now time.Duration, done int64, waited bool) {
-	if r.began && waited {
+	if r.began && waited && now-r.last <= maxPeriod {
 		r.done.add(now, float64(done))
 		r.busy.add(now, float64(now-r.last))
 	}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -123,6 +123,7 @@
 
 	fair       fairOrder
 	preemption preemption
+	work       workDone
 
 	quarantines []Quarantine
 	stalls      []Stall
@@ -156,6 +157,7 @@
 		laterMarks:   map[string]endMark{},
 
 		fair: fairOrder{shares: backlog.NewShares()},
+		work: newWorkDone(),
 
 		Interference: interference.NewPool(),
 	}
--- a/core/fleet/gang.go
+++ b/core/fleet/gang.go
@@ -96,6 +96,7 @@
 
 		if t.phase == waiting {
 			s.markDone(t)
+			f.recordDone(j, s)
 		}
 	}
 
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -346,6 +346,7 @@
 	}
 
 	s.markDone(t)
+	f.recordDone(j, s)
 
 	f.finishIfComplete(j)
 }
--- a/core/fleet/order.go
+++ b/core/fleet/order.go
@@ -58,7 +58,7 @@
 
 		if s.waiting > 0 && f.stepReady(j, i) {
 			// Tasks without an estimate wait too.
-			b.Work += max(1, backlog.Work(s.spec, s.waiting, s.spec.RunTime()))
+			b.Work = backlog.Sum(b.Work, max(1, backlog.Work(s.spec, s.waiting, s.spec.RunTime())))
 		}
 	}
 
--- a/io/peer/node.go
+++ b/io/peer/node.go
@@ -23,6 +23,8 @@
 	// ProcessorShare is the fraction of a core, such as 0.25, that the process may
 	// use; 0 if unknown.
 	ProcessorShare float64 `json:",omitempty"`
+	// Refusals says that an entry tells stored refusals from jobs.
+	Refusals bool `json:",omitempty"`
 }
 
 // Row encodes the node as its row.
