Add the section [Scheduling] to the settings of a process on the platform

The order, admission and preemption have to be switched on by operators. Admission requires the fair order, since the work ahead of a job is known only there.

--- a/settings/node.go
+++ b/settings/node.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/fleet"
 	"trefoildeck/core/resource"
 	"trefoildeck/io/declaration"
@@ -14,10 +15,11 @@
 // Node has the settings of a process on the users' platform, which generates them from
 // a template.
 type Node struct {
-	Node   NodeSection
-	Store  StoreSection
-	Worker NodeWorkerSection
-	Bounds BoundsSection
+	Node       NodeSection
+	Store      StoreSection
+	Worker     NodeWorkerSection
+	Bounds     BoundsSection
+	Scheduling SchedulingSection
 }
 
 // NodeSection is the section [Node].
@@ -79,6 +81,17 @@
 	DrainGrace time.Duration
 }
 
+// SchedulingSection is the section [Scheduling], which only entries use.
+type SchedulingSection struct {
+	// Order is the order of waiting jobs within a priority.
+	Order backlog.Policy
+	// Admission means that submissions are refused whose results would be useless. It requires the
+	// order backlog.Fair, in which the work ahead of a job is known.
+	Admission bool
+	// Preemption means that less urgent tasks are stopped to make room for those of priority 0.
+	Preemption bool
+}
+
 // LoadNode reads and checks the settings of a process on the platform. CheckEntry and
 // CheckAgent check what one of the roles requires in addition.
 func LoadNode(file string) (Node, error) {
@@ -93,16 +106,16 @@
 // ParseNode reads and checks the settings of a process on the platform; file names them
 // in errors.
 func ParseNode(file string, data []byte) (Node, error) {
-	var (
-		n Node
-		p resource.Problems
-	)
+	var p resource.Problems
+
+	n := Node{Scheduling: SchedulingSection{Order: backlog.ByDeadline}}
 
 	targets := map[string]any{
-		sectionNode:   &n.Node,
-		"Store":       &n.Store,
-		sectionWorker: &n.Worker,
-		"Bounds":      &n.Bounds,
+		sectionNode:       &n.Node,
+		"Store":           &n.Store,
+		sectionWorker:     &n.Worker,
+		"Bounds":          &n.Bounds,
+		sectionScheduling: &n.Scheduling,
 	}
 
 	for _, s := range declaration.Sections(file, data, &p) {
@@ -110,7 +123,7 @@
 
 		target, ok := targets[s.Name]
 		if !ok {
-			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds]")
+			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds], [Scheduling]")
 
 			continue
 		}
@@ -123,7 +136,10 @@
 	return n, p.Err()
 }
 
-const maxPort = 65535
+const (
+	sectionScheduling = "Scheduling"
+	maxPort           = 65535
+)
 
 func (n *Node) check(p *resource.Problems) {
 	c := checker{p: p}
@@ -151,6 +167,20 @@
 
 	p.Section = "Bounds"
 	c.duration("DrainGrace", n.Bounds.DrainGrace, time.Second)
+
+	n.Scheduling.check(p)
+}
+
+func (s *SchedulingSection) check(p *resource.Problems) {
+	p.Section = sectionScheduling
+
+	if s.Order != backlog.ByDeadline && s.Order != backlog.Fair {
+		p.Add("Order", fmt.Sprintf("%q", s.Order), fmt.Sprintf("%s or %s", backlog.ByDeadline, backlog.Fair))
+	}
+
+	if s.Admission && s.Order != backlog.Fair {
+		p.Add("Admission", "true without Order = "+string(backlog.Fair), "false, or Order = "+string(backlog.Fair))
+	}
 }
 
 // CheckEntry returns an error for each setting that an entry requires and n lacks.
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -4,6 +4,8 @@
 	"strings"
 	"testing"
 
+	"trefoildeck/core/backlog"
+
 	"gotest.tools/v3/assert"
 )
 
@@ -37,6 +39,11 @@
 		"RowBytes": {"Address = 10.200.1.7:8169", "Address = 10.200.1.7:8169\nRowBytes = 9", "RowBytes"},
 		"Section":  {"[Bounds]", "[Limits]", "Limits"},
 		"Key":      {"MemoryMB", "MemoryGB", "MemoryGB"},
+		"Order":    {"[Bounds]", "[Scheduling]\nOrder = Random\n[Bounds]", "[Scheduling] Order"},
+		// The work ahead of a job is known only in the fair order.
+		"Admission":  {"[Bounds]", "[Scheduling]\nAdmission = true\n[Bounds]", "[Scheduling] Admission"},
+		"Preemption": {"[Bounds]", "[Scheduling]\nPreemption = yes\n[Bounds]", "[Scheduling] Preemption"},
+		"Scheduling": {"[Bounds]", "[Scheduling]\nOrder = Fair\nAdmission = true\nPreemption = true\n[Bounds]", ""},
 	}
 
 	for name, c := range tests {
@@ -56,6 +63,13 @@
 	}
 }
 
+// TestSchedulingDefaults checks that nothing is switched on by default.
+func TestSchedulingDefaults(t *testing.T) {
+	n, err := ParseNode("node.ini", []byte(nodeText))
+	assert.NilError(t, err)
+	assert.Equal(t, n.Scheduling, SchedulingSection{Order: backlog.ByDeadline})
+}
+
 // FuzzParseNode checks that no input makes the parser panic.
 func FuzzParseNode(f *testing.F) {
 	f.Add(nodeText)
