Refuse submissions whose results would be useless

Under overload, every submission was accepted, and callers were told neither that the result would come too late nor when to come again.

The leader sends the backlog to the entries. An entry that knows from it that a result can't be useful stores the refusal under the job's key and then answers 503 with the time after which the job would be accepted. Each write of that row expects the version that it replaces, so that no write whose answer was lost can overturn a later answer. A refusal that may be newer than the request is confirmed and not replaced. If the refusal can't be stored at once, the job is accepted.

--- a/coordinator/configuration.go
+++ b/coordinator/configuration.go
@@ -86,6 +86,7 @@
 			p, err = c.store.Feed(ctx, table, after, feedWait)
 			if err == nil {
 				after = max(after, p.Version)
+				c.noteVersion(p.Version)
 
 				for _, r := range p.Rows {
 					c.guarded("RowNotHandled", func() { row(r) })
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -75,7 +75,10 @@
 	now func() time.Duration
 
 	configuration atomic.Pointer[config.Configuration]
-	draining      atomic.Bool
+	// storeVersion is the newest version of the store that this process knows of.
+	storeVersion atomic.Int64
+	admission    admission
+	draining     atomic.Bool
 	// offered is set once a readiness check has succeeded, so that callers may come.
 	offered atomic.Bool
 
@@ -128,6 +131,7 @@
 			Boot:       uuid.NewString()[:8],
 
 			ProcessorShare: s.Node.ProcessorShare,
+			Refusals:       true,
 		},
 		out:           map[string]bool{},
 		queries:       map[uint64]chan *peerpb.QueryAnswer{},
@@ -315,6 +319,7 @@
 	}
 
 	c.log.Info("LeaderLost", zap.Int64("Term", c.remoteLeader.Term))
+	c.admission.forget()
 
 	for n, answer := range c.queries {
 		close(answer)
@@ -331,6 +336,14 @@
 		c.deliverQueryAnswer(b.QueryAnswer)
 	case *peerpb.Frame_StoreAnswer:
 		c.deliverStoreAnswer(b.StoreAnswer)
+	case *peerpb.Frame_Backlog:
+		c.mu.Lock()
+		current := c.remoteLeader.Session == p
+		c.mu.Unlock()
+
+		if current {
+			c.applyBacklog(b.Backlog)
+		}
 	case *peerpb.Frame_StoreCall:
 		go c.serveRelay(context.Background(), b.StoreCall, func(f *peerpb.Frame) {
 			if err := p.Send(f); err != nil {
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -60,9 +60,11 @@
 	// A write whose answer was lost may be applied seconds later; the expected version
 	// keeps it from overwriting a later write.
 	versions map[string]int64
+	// reloading means that jobs are being read again, so that not all are known.
+	reloading bool
 	// rejections has the rows that the store rejects.
 	rejections rejections
-	// repeats limits the log lines about checkpoints that can't be stored.
+	// repeats limits the log lines about checkpoints that can't be stored, and about admission.
 	repeats jsonlog.Repeats
 
 	leaseMu sync.Mutex
@@ -83,6 +85,8 @@
 func newLeader(c *Coordinator, term int64, ls leaseState) *leader {
 	f := fleet.New(term)
 	f.RowBytes = c.settings.Store.RowLimit()
+	f.Order = c.settings.Scheduling.Order
+	f.Preemption = c.settings.Scheduling.Preemption
 
 	return &leader{
 		c:     c,
@@ -163,6 +167,7 @@
 	group.Go(func() error { return l.watchJobs(ctx, after) })
 	group.Go(func() error { return l.persistChanges(ctx) })
 	group.Go(func() error { return l.broadcastEstimates(ctx) })
+	group.Go(func() error { return l.broadcastBacklog(ctx) })
 	group.Go(func() error { return l.yieldToStronger(ctx) })
 
 	return l.schedule(ctx)
@@ -418,7 +423,7 @@
 	defer l.mu.Unlock()
 
 	for _, r := range list {
-		if strings.HasSuffix(r.Key, cancelSuffix) {
+		if strings.HasSuffix(r.Key, cancelSuffix) || isRefusal(r.Value) {
 			continue
 		}
 
@@ -474,14 +479,24 @@
 
 		defer notify(l.wake)
 
+		l.setReloading(true)
+		defer l.setReloading(false)
+
 		return l.load(ctx)
 	}, l.applyJobRow)
 }
 
+func (l *leader) setReloading(reloading bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	l.reloading = reloading
+}
+
 // applyJobRow adds or cancels a job. Rows may come twice: from the feed and from the
-// coordinator that wrote them.
+// coordinator that wrote them. A refusal, which may be replaced by a job, is passed over.
 func (l *leader) applyJobRow(r rows.Row) {
-	if r.Deleted {
+	if r.Deleted || isRefusal(r.Value) {
 		return
 	}
 
@@ -589,6 +604,12 @@
 		l.c.log.Warn("ReportsMissing", zap.Int64("Term", l.term), zap.Strings("Nodes", nodes))
 	}
 
+	for _, p := range l.fleet.Preemptions() {
+		l.c.meter.Count("tasks_preempted_total")
+		l.c.log.Info("TaskPreempted", zap.String("Job", p.Task.Job), zap.Stringer("Task", p.Task), zap.Int("Attempt", p.Attempt),
+			zap.String("Node", p.Node), zap.String("For", p.For), zap.Int64("LostWork", p.LostWork))
+	}
+
 	for _, s := range l.fleet.Stalls() {
 		l.c.log.Warn("TaskStalled", zap.String("Job", s.Task.Job), zap.Stringer("Task", s.Task), zap.String("Node", s.Node))
 	}
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -20,6 +20,9 @@
 	// the time opened.
 	session *peer.Session
 	opened  time.Duration
+	// present is when the process was last known to run: when its row was read or its last session
+	// ended.
+	present time.Duration
 	// report joins the messages of a report in the current session.
 	report peer.ReportJoiner
 	log    *zap.Logger
@@ -108,6 +111,8 @@
 		node:   n,
 		cancel: cancel,
 		log:    l.c.log,
+
+		present: l.c.now(),
 	}
 	l.nodes[n.Name] = link
 
@@ -153,6 +158,8 @@
 			l.mu.Lock()
 			defer l.mu.Unlock()
 
+			n.present = l.c.now()
+
 			if n.session == s {
 				n.session = nil
 			}
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -183,6 +183,7 @@
 
 		p, err := peer.DecodeStoreAnswer(a)
 		c.recordRelayOutcome(err)
+		c.noteVersion(p.Version)
 
 		return p, err
 	case <-ctx.Done():
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -56,12 +56,13 @@
 	return partName(int(n % jobParts))
 }
 
-// accept writes a job to the store, on the condition that its row doesn't exist. A
-// repeated submission to any process therefore finds the first one and succeeds.
+// accept writes a job to the store, on the condition that its row doesn't exist or has a refusal. A
+// repeated submission to any process therefore finds the first one and succeeds. The error is a
+// *platform.Refusal if the job was refused for the load.
 func (c *Coordinator) accept(ctx context.Context, q config.Queue, id string, s job.Spec) error {
+	known := c.storeVersion.Load()
 	now, _ := c.storeNow()
-
-	value, err := json.Marshal(job.Record{
+	record := job.Record{
 		Queue:         q.Name,
 		Service:       q.Service,
 		Priority:      q.Priority,
@@ -70,36 +71,42 @@
 		TargetLatency: q.TargetLatency,
 		Accepted:      now,
 		Spec:          s,
-	})
+	}
+
+	value, err := json.Marshal(record)
 	if err != nil {
 		return fmt.Errorf("encode job: %w", errors.Join(platform.ErrRefused, err))
 	}
 
+	var repeated bool
+
+	verdict := c.judge(q, &record)
+
 	if len(value) > c.settings.Store.RowLimit() {
 		err = rows.ErrInvalid
 	} else {
-		err = c.commit(ctx, rows.Transaction{
-			Part: partOf(id),
-			Expect: []rows.Expectation{{
-				Table: jobTable,
-				Key:   id,
-			}},
-		}, rows.Row{
-			Table: jobTable,
-			Key:   id,
-			Value: value,
+		repeated, err = c.storeJob(ctx, submission{
+			id:      id,
+			value:   value,
+			known:   known,
+			refusal: refusalOf(verdict),
 		})
 	}
 
-	repeated := errors.Is(err, rows.ErrConflict)
-
-	switch {
-	case repeated:
-		err = nil
-	case errors.Is(err, rows.ErrInvalid):
+	if errors.Is(err, rows.ErrInvalid) {
 		repeated, err = c.checkUnstorable(ctx, id, len(value))
 	}
 
+	if r := (*platform.Refusal)(nil); errors.As(err, &r) {
+		c.logRefusal(r, id, q.Name, verdict)
+
+		return err
+	}
+
+	if err == nil && !repeated {
+		c.admission.add(c.now(), &record, q.Host)
+	}
+
 	c.log.Info("JobSubmitted", zap.String("Job", id), zap.String("Queue", q.Name), zap.Int("Steps", len(s.Steps)),
 		zap.Int64("Configuration", c.configuration.Load().Version), zap.Bool("Repeated", repeated),
 		zap.Duration("StoreLostFor", c.storeOutage()), jsonlog.Error(err))
@@ -203,25 +210,36 @@
 	return err
 }
 
-// readJob reads from the store whether a job exists and whether it is cancelled.
+// readJob reads from the store whether a job exists and whether it is cancelled. A job that was
+// refused doesn't.
 func (c *Coordinator) readJob(ctx context.Context, id string) (known, cancelled bool, err error) {
-	if !c.storeReachable() {
-		return false, false, fmt.Errorf("the store is out of reach: %w", platform.ErrRefused)
-	}
-
-	p, err := c.store.Range(ctx, jobTable, partOf(id), id, id+jobKeysEnd)
+	p, err := c.readJobRows(ctx, id)
 	if err != nil {
-		return false, false, fmt.Errorf("read job: %w", errors.Join(platform.ErrRefused, err))
+		return false, false, err
 	}
 
 	for _, r := range p.Rows {
-		known = known || r.Key == id
+		known = known || (r.Key == id && !isRefusal(r.Value))
 		cancelled = cancelled || r.Key == id+cancelSuffix
 	}
 
 	return known, cancelled, nil
 }
 
+// readJobRows reads the rows of a job, or its refusal, from the store.
+func (c *Coordinator) readJobRows(ctx context.Context, id string) (rows.Page, error) {
+	if !c.storeReachable() {
+		return rows.Page{}, fmt.Errorf("the store is out of reach: %w", platform.ErrRefused)
+	}
+
+	p, err := c.store.Range(ctx, jobTable, partOf(id), id, id+jobKeysEnd)
+	if err != nil {
+		return rows.Page{}, fmt.Errorf("read job: %w", errors.Join(platform.ErrRefused, err))
+	}
+
+	return p, nil
+}
+
 // state returns a job's state from the leader, or from the store if the leader doesn't
 // answer or doesn't know the job.
 func (c *Coordinator) state(ctx context.Context, id string) (job.State, error) {
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -130,6 +130,7 @@
 	now := c.now()
 	answered := showsReachable(err)
 	c.meter.Observe(now-sent, "store_calls", "answered", strconv.FormatBool(answered))
+	c.noteVersion(stamp.Version)
 
 	c.mu.Lock()
 	defer c.mu.Unlock()
