--- a/core/backlog/order.go
+++ b/core/backlog/order.go
@@ -17,21 +17,11 @@
 //   - of the service of a priority, an eighth goes to the job that has waited longest, of
 //     whatever class.
 //
-// Order notes in service which jobs have waited longest, for Shares.Add. It takes O(n log n) time.
+// Order notes in service which jobs have waited longest, for Shares.Add. It takes O(n log n) time. The
+// result is valid until the next call with the same service, which uses its memory again.
 func Order(now time.Duration, jobs []Job, service *Shares) []int {
-	o := ordering{
-		now:     now,
-		jobs:    jobs,
-		service: service,
-		keys:    make([]key, len(jobs)),
-		order:   make([]int, 0, len(jobs)),
-		taken:   make([]bool, len(jobs)),
-		queues:  map[string]*queue{},
-	}
-
-	for i := range jobs {
-		o.keys[i] = keyOf(now, i, &jobs[i])
-	}
+	o := &service.ordering
+	o.reset(now, jobs, service)
 
 	slices.SortFunc(o.keys, o.compare)
 
@@ -118,9 +108,26 @@
 
 	// all and aged are the service of the priority that is being ordered, as Shares has it, plus
 	// the work of the jobs ordered so far. byAge has its jobs, those that have waited longest
-	// first.
+	// first, of which those before nextByAge are taken.
 	all, aged float64
 	byAge     []int
+	nextByAge int
+}
+
+// reset prepares the ordering of jobs.
+func (o *ordering) reset(now time.Duration, jobs []Job, service *Shares) {
+	o.now, o.jobs, o.service = now, jobs, service
+	o.keys = slices.Grow(o.keys[:0], len(jobs))
+	o.order = slices.Grow(o.order[:0], len(jobs))
+	o.taken = slices.Grow(o.taken[:0], len(jobs))[:len(jobs)]
+	o.ready = o.ready[:0]
+	o.queues = map[string]*queue{}
+
+	clear(o.taken)
+
+	for i := range jobs {
+		o.keys = append(o.keys, keyOf(now, i, &jobs[i]))
+	}
 }
 
 // addPriority adds the jobs of one priority to the order.
@@ -144,7 +151,7 @@
 
 // prepareAged prepares the turns of the jobs that have waited longest.
 func (o *ordering) prepareAged(keys []key) {
-	o.byAge = o.byAge[:0]
+	o.byAge, o.nextByAge = o.byAge[:0], 0
 
 	for _, k := range keys {
 		if k.class != idle {
@@ -209,15 +216,15 @@
 
 // oldest returns the job that has waited longest and is not taken, or -1 if there is none.
 func (o *ordering) oldest() int {
-	for len(o.byAge) > 0 && o.taken[o.byAge[0]] {
-		o.byAge = o.byAge[1:]
+	for o.nextByAge < len(o.byAge) && o.taken[o.byAge[o.nextByAge]] {
+		o.nextByAge++
 	}
 
-	if len(o.byAge) == 0 {
+	if o.nextByAge == len(o.byAge) {
 		return -1
 	}
 
-	return o.byAge[0]
+	return o.byAge[o.nextByAge]
 }
 
 // take adds a job to the order, and its work to the service of its account.
--- a/core/backlog/shares.go
+++ b/core/backlog/shares.go
@@ -22,6 +22,8 @@
 type Shares struct {
 	accounts map[string]*decaying
 	turns    map[int]*turns
+	// ordering is the state of the last call of Order, whose memory is used again.
+	ordering ordering
 }
 
 // turns is the service that the jobs of a priority received.
--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/interference"
 	"trefoildeck/core/job"
@@ -76,48 +77,57 @@
 }
 
 // BenchmarkSchedule measures one call of Schedule after the end of one task, by the
-// number of workers and of waiting jobs of each of two kinds.
+// number of workers and of waiting jobs of each of two kinds, and by the order.
 func BenchmarkSchedule(b *testing.B) {
 	for _, workers := range []int{11, 51, 300} {
 		for _, waiting := range []int{10, 100} {
-			b.Run(fmt.Sprintf("Workers%d/Waiting%d", workers, waiting), func(b *testing.B) {
-				f := newCrowdedFleet(workers, waiting*workers/11)
-				running := []startedRun{}
-				now := time.Second
-
-				collect := func(orders map[string]*Orders) {
-					for n, o := range orders {
-						for _, s := range o.Starts {
-							if s.Target == 0 {
-								running = append(running, startedRun{
-									node:  n,
-									order: s,
-								})
-							}
-						}
-					}
-				}
-				collect(f.Schedule(now, time.Time{}))
-
-				b.ResetTimer()
-
-				for i := range b.N {
-					now += time.Millisecond
-					if len(running) > 0 {
-						r := running[0]
-						running = running[1:]
-						f.RecordEnd(now, r.node, gate.End{
-							Number:  int64(i),
-							Task:    r.order.Task,
-							Attempt: r.order.Attempt,
-							Reason:  gate.Stopped,
-						})
-					}
-
-					collect(f.Schedule(now, time.Time{}))
+			for _, o := range []backlog.Policy{backlog.ByDeadline, backlog.Fair} {
+				b.Run(fmt.Sprintf("Workers%d/Waiting%d/%s", workers, waiting, o), func(b *testing.B) {
+					f := newCrowdedFleet(workers, waiting*workers/11)
+					f.Order = o
+					benchmarkSchedule(b, f)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkSchedule(b *testing.B, f *Fleet) {
+	b.Helper()
+
+	running := []startedRun{}
+	now := time.Second
+
+	collect := func(orders map[string]*Orders) {
+		for n, o := range orders {
+			for _, s := range o.Starts {
+				if s.Target == 0 {
+					running = append(running, startedRun{
+						node:  n,
+						order: s,
+					})
 				}
+			}
+		}
+	}
+	collect(f.Schedule(now, time.Time{}))
+
+	b.ResetTimer()
+
+	for i := range b.N {
+		now += time.Millisecond
+		if len(running) > 0 {
+			r := running[0]
+			running = running[1:]
+			f.RecordEnd(now, r.node, gate.End{
+				Number:  int64(i),
+				Task:    r.order.Task,
+				Attempt: r.order.Attempt,
+				Reason:  gate.Stopped,
 			})
 		}
+
+		collect(f.Schedule(now, time.Time{}))
 	}
 }
 
--- a/core/fleet/order.go
+++ b/core/fleet/order.go
@@ -10,8 +10,9 @@
 // fairOrder is the state of the order backlog.Fair.
 type fairOrder struct {
 	shares *backlog.Shares
-	// jobs is the list of the last pass, whose memory is used again.
-	jobs []backlog.Job
+	// jobs and sorted are lists of the last pass, whose memory is used again.
+	jobs   []backlog.Job
+	sorted []*jobInfo
 }
 
 // sortFairly sorts the open jobs by backlog.Order.
@@ -23,12 +24,13 @@
 		o.jobs = append(o.jobs, f.orderedJob(now, j))
 	}
 
-	sorted := make([]*jobInfo, 0, len(f.open))
 	for _, i := range backlog.Order(now, o.jobs, o.shares) {
-		sorted = append(sorted, f.open[i])
+		o.sorted = append(o.sorted, f.open[i])
 	}
 
-	f.open = sorted
+	f.open, o.sorted = o.sorted, f.open
+	clear(o.sorted)
+	o.sorted = o.sorted[:0]
 }
 
 // orderedJob describes a job to package backlog.
