--- a/integration/hosted_deployment_test.go
+++ b/integration/hosted_deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -54,6 +55,8 @@
 	// address that serves it.
 	proxied      bool
 	storeProxies []*faultProxy
+	// scheduling is the section [Scheduling] of the settings, or "" for the defaults.
+	scheduling string
 
 	mu    sync.Mutex
 	specs map[string]job.Spec
@@ -309,7 +312,7 @@
 Address = %s
 %s[Bounds]
 DrainGrace = 6s
-`, name, ip, node, h.storeAddress, worker)
+%s`, name, ip, node, h.storeAddress, worker, h.scheduling)
 	file := filepath.Join(h.t.TempDir(), name+".ini")
 	assert.NilError(h.t, os.WriteFile(file, []byte(text), 0o600))
 
@@ -467,7 +470,7 @@
 	for _, p := range s.Steps {
 		steps = append(steps, map[string]any{
 			"count": p.Count, "cpu": p.Size.MilliCores, "mem_mb": p.Size.MemoryMB,
-			"estimate_ms": 100, "after": p.After, "anti_affinity": p.AntiAffinity, "long_running": p.LongRunning,
+			"estimate_ms": cmp.Or(p.Estimate.Milliseconds(), 100), "after": p.After, "anti_affinity": p.AntiAffinity, "long_running": p.LongRunning,
 		})
 	}
 
--- a/standin/emulator/checker.go
+++ b/standin/emulator/checker.go
@@ -24,6 +24,8 @@
 type jobHistory struct {
 	spec      job.Spec
 	cancelled bool
+	// refused is set from the refusal of the job until it is submitted again.
+	refused bool
 	// running has the workers that run each task.
 	running map[job.TaskID]map[string]bool
 	// done has the attempts of each task that succeeded.
@@ -74,6 +76,19 @@
 	c.jobs[id].cancelled = true
 }
 
+// RecordRefusal records that a client was told that a job is refused and that no request for it
+// is under way, so that no task of it may start until it is submitted again.
+func (c *Checker) RecordRefusal(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.jobs[id].starts > 0 {
+		c.addViolation("%s: refused after a start", id)
+	}
+
+	c.jobs[id].refused = true
+}
+
 func (c *Checker) addViolation(format string, args ...any) {
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
@@ -97,6 +112,8 @@
 	h.starts++
 
 	switch {
+	case h.refused:
+		c.addViolation("%s attempt %d on %s: started after its job was refused", t, attempt, worker)
 	case h.cancelled:
 		c.addViolation("%s attempt %d on %s: started after its job was cancelled", t, attempt, worker)
 	case len(h.running[t]) > 0:
