--- a/core/fleet/bench_test.go
+++ b/core/fleet/bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/interference"
 	"trefoildeck/core/job"
@@ -76,13 +77,17 @@
 }
 
 // BenchmarkSchedule measures one call of Schedule after the end of one task, by the
-// number of workers and of waiting jobs of each of two kinds.
+// number of workers and of waiting jobs of each of two kinds, and by the order.
 func BenchmarkSchedule(b *testing.B) {
 	for _, workers := range []int{11, 51, 300} {
 		for _, waiting := range []int{10, 100} {
-			b.Run(fmt.Sprintf("Workers%d/Waiting%d", workers, waiting), func(b *testing.B) {
-				benchmarkSchedule(b, newCrowdedFleet(workers, waiting*workers/11))
-			})
+			for _, o := range []backlog.Policy{backlog.ByDeadline, backlog.Fair} {
+				b.Run(fmt.Sprintf("Workers%d/Waiting%d/%s", workers, waiting, o), func(b *testing.B) {
+					f := newCrowdedFleet(workers, waiting*workers/11)
+					f.Order = o
+					benchmarkSchedule(b, f)
+				})
+			}
 		}
 	}
 }
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -29,6 +29,7 @@
 	"slices"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/config"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/interference"
@@ -86,6 +87,10 @@
 	RowBytes int
 	// LookAhead enables reservations for tasks that no worker has room for.
 	LookAhead bool
+	// Order is the order of waiting jobs within a priority.
+	Order backlog.Policy
+	// Preemption means that less urgent runs are stopped to make room for tasks of priority 0.
+	Preemption bool
 
 	term    int64
 	jobs    map[string]*jobInfo
@@ -121,6 +126,10 @@
 	changed, laterChanged map[string]*jobInfo
 	endMarks, laterMarks  map[string]endMark
 
+	fair       fairOrder
+	preemption preemption
+	work       workDone
+
 	quarantines []Quarantine
 	stalls      []Stall
 	losses      []Loss
@@ -153,6 +162,9 @@
 		endMarks:     map[string]endMark{},
 		laterMarks:   map[string]endMark{},
 
+		fair: fairOrder{shares: backlog.NewShares()},
+		work: newWorkDone(),
+
 		Interference: interference.NewPool(),
 	}
 }
@@ -224,12 +236,18 @@
 	return orders
 }
 
-// sortOpen drops the jobs that are over and sorts the others by priority, then by
-// deadline. Jobs that are too late come last within their priority: before those that can
+// sortOpen drops the jobs that are over and sorts the others by priority, then as Order says, by
+// default by deadline. Jobs that are too late come last within their priority: before those that can
 // still be finished in time, they would make all of them late when there are too many.
 func (f *Fleet) sortOpen(now time.Duration) {
 	f.open = slices.DeleteFunc(f.open, func(j *jobInfo) bool { return j.state.Final() && j.active == 0 })
 
+	if f.Order == backlog.Fair {
+		f.sortFairly(now)
+
+		return
+	}
+
 	for _, j := range f.open {
 		j.lateness = 0
 		if j.tooLate(now) {
@@ -285,6 +303,10 @@
 		earlier(w.refusals.until)
 	}
 
+	for _, t := range f.nextRoomChange(now) {
+		earlier(t)
+	}
+
 	for _, j := range f.open {
 		for _, t := range j.retryTimes {
 			earlier(t)
--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -49,6 +49,10 @@
 			killAgent: 0.1, killEntry: 0.05, resign: 0.05, cut: 0.1, crash: 0.08, silent: 0.1, leave: 0.03, loseCall: 0.02, maxDelay: 50 * time.Millisecond,
 			crowded: true,
 		},
+		"preemption": {
+			killAgent: 0.1, killEntry: 0.1, resign: 0.1, cut: 0.2, crash: 0.05, silent: 0.1, loseCall: 0.1, loseWrite: 0.1,
+			maxDelay: 50 * time.Millisecond, preemption: true,
+		},
 		"together": {
 			killAgent: 0.15, killAllAgents: 0.02, killAllEntries: 0.02, pauseAgent: 0.15, killEntry: 0.08, pauseEntry: 0.1, resign: 0.1, cut: 0.3,
 			crash: 0.08, silent: 0.15, leave: 0.03, loseCall: 0.05, loseWrite: 0.1, pauseInside: 0.003, maxDelay: 200 * time.Millisecond,
@@ -246,6 +250,11 @@
 			Steps: []job.Step{step(), step(0)},
 		},
 	}
+
+	if w.faults.preemption {
+		r.Priority = 2 * (len(w.jobs) % 2)
+	}
+
 	w.store.version++
 	w.jobs = append(w.jobs, jobRow{
 		record:   r,
@@ -261,7 +270,12 @@
 		}
 	}
 
-	w.at(w.now+w.between(1500*time.Millisecond, 4500*time.Millisecond), w.submitJobs)
+	interval := w.between(1500*time.Millisecond, 4500*time.Millisecond)
+	if w.faults.preemption {
+		interval /= 8
+	}
+
+	w.at(w.now+interval, w.submitJobs)
 }
 
 // injectFaults injects faults from now on, several times as many in some seconds as in
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
 )
@@ -40,6 +41,8 @@
 	noteRow bool
 	// stalls is the number of runs of the task that stalled in this term.
 	stalls int
+	// preempted is set only for tasks that were preempted, or for which room was made.
+	preempted preempted
 }
 
 // stepInfo is the state of one occurrence of a step.
@@ -51,6 +54,8 @@
 	done  int
 	// waiting is the number of tasks in the phase waiting.
 	waiting int
+	// lastStarted is when a task of the step was last placed.
+	lastStarted time.Duration
 	// perWorker counts the active tasks of the step by worker, for anti-affinity.
 	perWorker map[*workerInfo]int
 	// searchAt is the earliest time of the next search for a reservation. reserved means that there
@@ -74,8 +79,11 @@
 	// previous leader may have started its tasks.
 	loaded bool
 	// active is the number of tasks in the phase active: they run or may run.
-	active   int
-	deadline time.Duration
+	active             int
+	accepted, deadline time.Duration
+	accountInfo
+	// paths has the estimated time from the start of each step of an occurrence to its end.
+	paths []time.Duration
 	// usefulUntil is when callers no longer have a use for the result, if expires is set. A job
 	// that has not started by startBy isn't finished by then.
 	expires              bool
@@ -95,6 +103,7 @@
 		state:        job.Queued,
 		durableState: job.Queued,
 		deadline:     deadline,
+		paths:        r.Spec.PathsFrom(),
 		steps:        make([]stepInfo, len(r.Spec.Steps)*max(1, r.Spec.Repeat)),
 		dirty:        map[rowName]bool{},
 		stored:       map[rowName]bool{},
@@ -115,9 +124,6 @@
 	return j
 }
 
-// usefulObjectives is the time for which a result is useful, as a multiple of the objective.
-const usefulObjectives = 3
-
 // tooLate reports whether a job can't be finished while its result is useful. A job that has
 // started may have little left to do.
 func (j *jobInfo) tooLate(now time.Duration) bool {
@@ -136,11 +142,12 @@
 		return false
 	}
 
-	objective := time.Duration(float64(r.Spec.CriticalPath())*r.Stretch) + r.TargetLatency
+	objective := r.Objective()
 	j := newJob(r, now-age+objective)
 
-	j.expires = r.Spec.Repeat == 0 && !slices.ContainsFunc(r.Spec.Steps, func(s job.Step) bool { return s.LongRunning })
-	j.usefulUntil = now - age + usefulObjectives*objective
+	j.accepted = now - age
+	j.expires = !r.Lasting()
+	j.usefulUntil = now - age + backlog.UsefulObjectives*objective
 	j.startBy = j.usefulUntil - r.Spec.CriticalPath()
 
 	f.jobs[r.ID] = j
@@ -343,6 +350,7 @@
 	}
 
 	s.markDone(t)
+	f.recordDone(j, s)
 
 	f.finishIfComplete(j)
 }
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -63,6 +63,8 @@
 				f.reserve(now, j, i, k)
 			}
 			// The tasks of a step are identical, so no other one fits either.
+			f.makeRoom(now, j, s, k)
+
 			return
 		}
 
@@ -122,6 +124,8 @@
 		return false
 	case w.service != j.record.Service:
 		return false
+	case w.clearing.keepsOut(now, j):
+		return false
 	case s.spec.Requires != "" && !slices.Contains(w.labels, s.spec.Requires):
 		return false
 	case s.spec.AntiAffinity > 0 && s.perWorker[w] >= s.spec.AntiAffinity:
@@ -276,6 +280,7 @@
 	o := f.ordersFor(t.worker)
 	o.Starts = append(o.Starts, f.startOrder(j, s, t, id))
 	o.Placements = append(o.Placements, placement)
+	f.recordService(j, s, t.worker.runs[id])
 }
 
 // placement returns the data on a worker for the log of a placement.
@@ -305,6 +310,7 @@
 	t.worker = w
 	s.waiting--
 	s.perWorker[w]++
+	s.lastStarted = now
 	j.active++
 	w.addRun(now, id, attempt, s.spec)
 	w.runs[id].progress.resumed = t.checkpoint != ""
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -71,6 +71,9 @@
 	// crowded says that tasks have up to the size of a worker, so that many wait, and that leaders
 	// look ahead.
 	crowded bool
+	// preemption says that leaders preempt and use the order backlog.Fair, and that more work of
+	// two priorities is submitted than the workers can do at once.
+	preemption bool
 }
 
 // maxRestartDelay is the time after the listing of a success in which its task may start
--- a/settings/node.go
+++ b/settings/node.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"trefoildeck/core/backlog"
 	"trefoildeck/core/fleet"
 	"trefoildeck/core/resource"
 	"trefoildeck/io/declaration"
@@ -14,11 +15,10 @@
 // Node has the settings of a process on the users' platform, which generates them from
 // a template.
 type Node struct {
-	Node   NodeSection
-	Store  StoreSection
-	Worker NodeWorkerSection
-	Bounds BoundsSection
-
+	Node       NodeSection
+	Store      StoreSection
+	Worker     NodeWorkerSection
+	Bounds     BoundsSection
 	Scheduling SchedulingSection
 }
 
@@ -81,8 +81,16 @@
 	DrainGrace time.Duration
 }
 
-// SchedulingSection is the section [Scheduling], which may be left out.
+// SchedulingSection is the section [Scheduling], which may be left out. Agents only use what
+// ReportsProgress says.
 type SchedulingSection struct {
+	// Order is the order of waiting jobs within a priority.
+	Order backlog.Policy
+	// Admission means that submissions are refused whose results would be useless. It requires the
+	// order backlog.Fair, in which the work ahead of a job is known.
+	Admission bool
+	// Preemption means that less urgent tasks are stopped to make room for those of priority 0.
+	Preemption bool
 	// LookAhead enables reservations for tasks that no worker has room for.
 	LookAhead bool
 }
@@ -104,17 +112,16 @@
 // ParseNode reads and checks the settings of a process on the platform; file names them
 // in errors.
 func ParseNode(file string, data []byte) (Node, error) {
-	var (
-		n Node
-		p resource.Problems
-	)
+	var p resource.Problems
+
+	n := Node{Scheduling: SchedulingSection{Order: backlog.ByDeadline}}
 
 	targets := map[string]any{
-		sectionNode:   &n.Node,
-		"Store":       &n.Store,
-		sectionWorker: &n.Worker,
-		"Bounds":      &n.Bounds,
-		"Scheduling":  &n.Scheduling,
+		sectionNode:       &n.Node,
+		"Store":           &n.Store,
+		sectionWorker:     &n.Worker,
+		"Bounds":          &n.Bounds,
+		sectionScheduling: &n.Scheduling,
 	}
 
 	for _, s := range declaration.Sections(file, data, &p) {
@@ -135,7 +142,10 @@
 	return n, p.Err()
 }
 
-const maxPort = 65535
+const (
+	sectionScheduling = "Scheduling"
+	maxPort           = 65535
+)
 
 func (n *Node) check(p *resource.Problems) {
 	c := checker{p: p}
@@ -163,6 +173,20 @@
 
 	p.Section = "Bounds"
 	c.duration("DrainGrace", n.Bounds.DrainGrace, time.Second)
+
+	n.Scheduling.check(p)
+}
+
+func (s *SchedulingSection) check(p *resource.Problems) {
+	p.Section = sectionScheduling
+
+	if s.Order != backlog.ByDeadline && s.Order != backlog.Fair {
+		p.Add("Order", fmt.Sprintf("%q", s.Order), fmt.Sprintf("%s or %s", backlog.ByDeadline, backlog.Fair))
+	}
+
+	if s.Admission && s.Order != backlog.Fair {
+		p.Add("Admission", "true without Order = "+string(backlog.Fair), "false, or Order = "+string(backlog.Fair))
+	}
 }
 
 // CheckEntry returns an error for each setting that an entry requires and n lacks.
