Learn the speed of workers from the progress of their runs

A worker that turns 5 to 8 times slower for some seconds still starts and ends all that it gets, so that neither its health check nor its ends show anything, and each job with a task there is late.

Package core/speed compares the progress of a run with the runs of the same step elsewhere. A run is known as a range (whole percents, readings of some age, paces that change between readings), and within it the speed nearest to that of the others is assumed. A worker is slow if runs of at least two jobs put it below 0.6 by more than the variance within steps. When the evidence has decayed, the worker gets two runs until they have shown something.

--- /dev/null
+++ b/core/speed/speed.go
@@ -0,0 +1,407 @@
+// Package speed learns the speeds of workers from the progress of their runs, compared with the
+// runs of the same steps elsewhere.
+//
+// The load that it answers: workers of unequal speed, above all one that turns 5 to 8 times slower
+// for some seconds while it still starts and ends all that it gets. Its health check and its ends
+// look good, and all jobs that have a task there are late.
+//
+// The tasks of a step are alike, up to 30% in run time, and estimates are not used. A worker has a
+// speed only relative to the workers that run tasks of the same steps: a step that runs on one
+// worker alone says nothing. What the leader knows of a run is a range: the percent is whole, a
+// reading may be old, and the pace of a filling task changes between readings. Within that range,
+// the speed nearest to that of the others is assumed, so that doubt never speaks against a worker.
+//
+// The package does no I/O and has no clock: callers pass in the time of one local monotonic clock.
+//
+// # Usage
+//
+//	t := speed.New()
+//	t.Start(now, speed.Start{Node: node, Task: id, Step: step, Reading: reading})
+//	t.Observe(now, node, step, id, reading) // with each report of a run
+//	t.End(now, id, true)
+//	for _, c := range t.Judge(now) { … }
+//	if t.Avoid(node) { … }
+package speed
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"trefoildeck/core/job"
+)
+
+const (
+	// evidenceLife is the age at which evidence is dropped, and evidenceDecay the time in which its
+	// weight falls by a factor of e.
+	evidenceLife  = 10 * time.Second
+	evidenceDecay = 2 * time.Second
+	// trialRuns is the number of runs that a worker is given when the evidence that it is slow has
+	// decayed, until they have shown something, or for trialLife.
+	trialRuns = 2
+	trialLife = 10 * time.Second
+	// sweepInterval is the time between two searches for steps without recent evidence.
+	sweepInterval = time.Second
+)
+
+// Step identifies tasks that are alike.
+type Step struct {
+	Job   string
+	Index int
+	// Remote means that the tasks run outside the rack of their data, which takes longer.
+	Remote bool
+}
+
+// Reading is the progress of a run as reported by its agent.
+type Reading struct {
+	// Percent is the completed part of the task.
+	Percent int
+	// Least and Most bound the part of full speed, between 0 and 1, at which the worker let the run
+	// go: the pace, and the processor time that others leave.
+	Least, Most float64
+	// Age is the greatest age of the reading.
+	Age time.Duration
+	// Paced means that the pace may change between two readings.
+	Paced bool
+}
+
+// Start is the start of a run.
+type Start struct {
+	Node string
+	Task job.TaskID
+	Step Step
+	// Fresh means that the task starts from nothing, and not from a checkpoint.
+	Fresh   bool
+	Reading Reading
+}
+
+// Change is a worker that turned slow, or no longer counts as slow.
+type Change struct {
+	Node string
+	Slow bool
+	Evidence
+	// Since is the time of the earliest evidence that the worker is slow, or, if it no longer is, the
+	// time when it was judged to be.
+	Since time.Duration
+}
+
+// state is what a worker is taken for.
+type state uint8
+
+const (
+	sound state = iota
+	slow
+	// onTrial means that the worker was slow and nothing is known since.
+	onTrial
+)
+
+// node has the evidence on one worker.
+type node struct {
+	// runs has the runs under way and those that ended within evidenceLife.
+	runs  []*run
+	state state
+	// since is the start of the state. trialStarts counts the runs that started since.
+	since       time.Duration
+	trialStarts int
+}
+
+// Tracker has the evidence on all workers. It is not safe for concurrent use.
+type Tracker struct {
+	runs  map[job.TaskID]*run
+	steps map[Step]*group
+	nodes map[string]*node
+	// changed has the workers to judge: those with new evidence and those that aren't sound.
+	changed map[string]bool
+	sweptAt time.Duration
+}
+
+// New returns a tracker without evidence.
+func New() *Tracker {
+	return &Tracker{
+		runs:    map[job.TaskID]*run{},
+		steps:   map[Step]*group{},
+		nodes:   map[string]*node{},
+		changed: map[string]bool{},
+	}
+}
+
+// Start records that a run was ordered. An earlier run of the task is forgotten.
+func (t *Tracker) Start(now time.Duration, s Start) {
+	t.drop(s.Task)
+
+	r := &run{
+		task: s.Task,
+		node: s.Node,
+		step: s.Step,
+		last: s.Reading,
+		at:   now,
+	}
+
+	if s.Fresh {
+		r.points = append(r.points, point{
+			at:    now,
+			exact: true,
+		})
+	}
+
+	t.add(r)
+
+	if n := t.nodes[s.Node]; n.state == onTrial {
+		n.trialStarts++
+	}
+}
+
+func (t *Tracker) add(r *run) {
+	r.lower, r.upper = math.Inf(-1), math.Inf(1)
+	t.runs[r.task] = r
+
+	n := t.nodes[r.node]
+	if n == nil {
+		n = &node{}
+		t.nodes[r.node] = n
+	}
+
+	n.runs = append(n.runs, r)
+
+	g := t.steps[r.step]
+	if g == nil {
+		g = &group{byNode: map[string]sum{}}
+		t.steps[r.step] = g
+	}
+
+	g.running++
+}
+
+// Observe records a reading of a run. A run that is unknown began before this tracker.
+func (t *Tracker) Observe(now time.Duration, node string, s Step, id job.TaskID, reading Reading) {
+	r := t.runs[id]
+
+	if r == nil || r.node != node {
+		t.drop(id)
+
+		r = &run{
+			task: id,
+			node: node,
+			step: s,
+			last: reading,
+		}
+		t.add(r)
+	}
+
+	r.observe(now, reading)
+	t.update(now, r)
+}
+
+// End records that a run ended, as done or otherwise. One that was stopped or failed leaves no
+// evidence behind.
+func (t *Tracker) End(now time.Duration, id job.TaskID, done bool) {
+	r := t.runs[id]
+	if r == nil {
+		return
+	}
+
+	if !done {
+		t.drop(id)
+
+		return
+	}
+
+	r.end(now)
+	t.update(now, r)
+	delete(t.runs, id)
+
+	t.steps[r.step].running--
+}
+
+// Forget drops all evidence on a worker, which restarted or left.
+func (t *Tracker) Forget(node string) {
+	n := t.nodes[node]
+	if n == nil {
+		return
+	}
+
+	for _, r := range slices.Clone(n.runs) {
+		if !r.ended {
+			t.drop(r.task)
+		}
+	}
+
+	delete(t.nodes, node)
+	delete(t.changed, node)
+}
+
+// drop removes a run that is under way, and what it says.
+func (t *Tracker) drop(id job.TaskID) {
+	r := t.runs[id]
+	if r == nil {
+		return
+	}
+
+	delete(t.runs, id)
+
+	g := t.steps[r.step]
+	g.running--
+	g.replace(r, nil)
+
+	n := t.nodes[r.node]
+	n.runs = slices.DeleteFunc(n.runs, func(o *run) bool { return o == r })
+}
+
+// update adds what a run says to its step, and marks its worker as changed.
+func (t *Tracker) update(now time.Duration, r *run) {
+	r.measure()
+
+	g := t.steps[r.step]
+	g.changedAt = now
+	g.replace(r, r.typical())
+
+	t.changed[r.node] = true
+}
+
+// Judge decides anew on the workers with new evidence and those that are slow or on trial, and
+// returns those that turned slow or no longer are, in no order.
+func (t *Tracker) Judge(now time.Duration) []Change {
+	var changes []Change
+
+	for name := range t.changed {
+		n := t.nodes[name]
+		n.expire(now)
+
+		if c, ok := t.judge(now, name, n); ok {
+			changes = append(changes, c)
+		}
+
+		if n.state == sound {
+			delete(t.changed, name)
+		}
+	}
+
+	t.sweep(now)
+
+	return changes
+}
+
+// judge decides on one worker and reports whether its state changed from or to slow.
+func (t *Tracker) judge(now time.Duration, name string, n *node) (Change, bool) {
+	was, since := n.state, n.since
+	e := t.evidence(now, name, n)
+
+	switch {
+	case e.slow():
+		n.enter(now, slow)
+
+		return Change{
+			Node:     name,
+			Slow:     true,
+			Evidence: e,
+			Since:    e.earliest,
+		}, was != slow
+	case was == slow && e.sound():
+		n.enter(now, sound)
+	case was == slow && (e.Weight < leastWeight || e.Speed > threshold):
+		n.enter(now, onTrial)
+	case was == onTrial && (now >= n.since+trialLife || t.passed(n)):
+		n.enter(now, sound)
+	default:
+	}
+
+	return Change{
+		Node:     name,
+		Evidence: e,
+		Since:    since,
+	}, was == slow && n.state != slow
+}
+
+func (n *node) enter(now time.Duration, s state) {
+	if n.state != s {
+		n.state, n.since, n.trialStarts = s, now, 0
+	}
+}
+
+// passed reports whether enough of what was seen since the start of a trial shows that the worker
+// is not slow.
+func (t *Tracker) passed(n *node) bool {
+	passed := 0
+
+	for _, r := range n.runs {
+		if r.at <= n.since {
+			continue
+		}
+
+		if d, ok := r.deviation(t.steps[r.step]); ok && d > logThreshold {
+			passed++
+		}
+	}
+
+	return passed >= trialRuns
+}
+
+// expire drops the runs that ended too long ago.
+func (n *node) expire(now time.Duration) {
+	n.runs = slices.DeleteFunc(n.runs, func(r *run) bool { return r.ended && now >= r.at+evidenceLife })
+}
+
+// sweep drops the steps that have neither runs nor recent evidence, and workers likewise.
+func (t *Tracker) sweep(now time.Duration) {
+	if now < t.sweptAt+sweepInterval {
+		return
+	}
+
+	t.sweptAt = now
+
+	for s, g := range t.steps {
+		if g.running == 0 && now >= g.changedAt+evidenceLife {
+			delete(t.steps, s)
+		}
+	}
+
+	for name, n := range t.nodes {
+		n.expire(now)
+
+		if len(n.runs) == 0 && n.state == sound {
+			delete(t.nodes, name)
+			delete(t.changed, name)
+		}
+	}
+}
+
+// Avoid reports whether a worker is to get no run while another can take it: it is slow, or has
+// been given as many runs as it gets on trial.
+func (t *Tracker) Avoid(node string) bool {
+	n := t.nodes[node]
+
+	return n != nil && (n.state == slow || (n.state == onTrial && n.trialStarts >= trialRuns))
+}
+
+// Slow reports whether a worker was judged slow.
+func (t *Tracker) Slow(node string) bool {
+	n := t.nodes[node]
+
+	return n != nil && n.state == slow
+}
+
+// Speed returns the speed of a worker, where 1 is as fast as others, and whether the evidence is of
+// at least two jobs.
+func (t *Tracker) Speed(now time.Duration, node string) (float64, bool) {
+	n := t.nodes[node]
+	if n == nil {
+		return 1, false
+	}
+
+	e := t.evidence(now, node, n)
+
+	return e.Speed, e.Jobs >= minJobs
+}
+
+// Duration returns how long a task of a step takes at full speed on workers other than one, and
+// whether that is known.
+func (t *Tracker) Duration(s Step, node string) (time.Duration, bool) {
+	g := t.steps[s]
+	if g == nil {
+		return 0, false
+	}
+
+	typical, n := g.elsewhere(node)
+
+	return exp(typical), n > 0
+}
