--- a/core/speed/evidence.go
+++ b/core/speed/evidence.go
@@ -129,8 +129,9 @@
 }
 
 // evidence returns what is known about a worker. The variance of a comparison is that of the runs
-// here and that of the runs elsewhere, and comparisons count by its inverse.
-func (t *Tracker) evidence(now time.Duration, name string, n *node) Evidence {
+// here and that of the runs elsewhere, and comparisons count by its inverse. The weight of a run falls
+// by a factor of e within decay.
+func (t *Tracker) evidence(now time.Duration, n *node, decay time.Duration) Evidence {
 	e := Evidence{
 		Speed:    1,
 		earliest: now,
@@ -140,7 +141,7 @@
 
 	jobs := map[string]bool{}
 
-	for _, s := range t.shares(now, name, n, &e) {
+	for _, s := range t.shares(now, n, decay, &e) {
 		w := s.weight * float64(s.elsewhere) / (s.weight + float64(s.elsewhere))
 		e.Weight += w
 		total += w * s.total / s.weight
@@ -161,7 +162,7 @@
 	return e
 }
 
-func (t *Tracker) shares(now time.Duration, name string, n *node, e *Evidence) []share {
+func (t *Tracker) shares(now time.Duration, n *node, decay time.Duration, e *Evidence) []share {
 	var shares []share
 
 runs:
@@ -171,7 +172,7 @@
 			continue
 		}
 
-		w := math.Exp(-(now - r.at).Seconds() / evidenceDecay.Seconds())
+		w := math.Exp(-(now - r.at).Seconds() / decay.Seconds())
 
 		if d < logThreshold {
 			e.earliest = min(e.earliest, r.at)
@@ -186,7 +187,7 @@
 			}
 		}
 
-		_, elsewhere := t.steps[r.step].elsewhere(name)
+		_, elsewhere := t.steps[r.step].elsewhere(r.node)
 		shares = append(shares, share{
 			step:      r.step,
 			total:     w * d,
--- a/core/speed/run.go
+++ b/core/speed/run.go
@@ -44,7 +44,10 @@
 	step   Step
 	points []point
 	last   Reading
-	ended  bool
+	// ordered is when the run was ordered, 0 if that is unknown.
+	ordered time.Duration
+	// ended means that the run is over, and done that its task is.
+	ended, done bool
 
 	// at is the time of the last point. The run takes between lower and upper for a whole task at
 	// full speed, as logarithms of seconds. They are infinite if nothing is known.
@@ -62,8 +65,8 @@
 	r.last = reading
 }
 
-func (r *run) end(now time.Duration) {
-	r.ended = true
+func (r *run) finish(now time.Duration) {
+	r.done = true
 	r.addPoint(now, point{
 		percent: 100,
 		exact:   true,
@@ -143,11 +146,14 @@
 	}
 }
 
+// known reports whether anything is known of the task's duration.
+func (r *run) known() bool { return !math.IsInf(r.lower, 0) || !math.IsInf(r.upper, 0) }
+
 // typical returns the duration by which runs elsewhere are judged, as a logarithm, or nil if it is
 // too uncertain. It is the longest that the run may need, so that doubt about one worker doesn't
 // speak against the others.
 func (r *run) typical() *float64 {
-	if math.IsInf(r.upper, 1) || (!r.ended && r.upper-r.lower > maxSpread) {
+	if math.IsInf(r.upper, 1) || (!r.done && r.upper-r.lower > maxSpread) {
 		return nil
 	}
 
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -33,11 +33,13 @@
 
 const (
 	// evidenceLife is the age at which evidence is dropped, and evidenceDecay the time in which its
-	// weight falls by a factor of e.
+	// weight falls by a factor of e. Beside all evidence, the most recent is judged alone, which
+	// recentDecay selects: what was seen before a change hides it for some seconds.
 	evidenceLife  = 10 * time.Second
 	evidenceDecay = 2 * time.Second
-	// trialRuns is the number of runs that a worker is given when the evidence that it is slow has
-	// decayed, until they have shown something, or for trialLife.
+	recentDecay   = 600 * time.Millisecond
+	// trialRuns is the number of runs at a time that a worker is given when the evidence that it is
+	// slow has decayed, until as many have shown that it is not, or for trialLife.
 	trialRuns = 2
 	trialLife = 10 * time.Second
 	// sweepInterval is the time between two searches for steps without recent evidence.
@@ -100,9 +102,8 @@
 	// runs has the runs under way and those that ended within evidenceLife.
 	runs  []*run
 	state state
-	// since is the start of the state. trialStarts counts the runs that started since.
-	since       time.Duration
-	trialStarts int
+	// since is the start of the state.
+	since time.Duration
 }
 
 // Tracker has the evidence on all workers. It is not safe for concurrent use.
@@ -135,6 +136,8 @@
 		step: s.Step,
 		last: s.Reading,
 		at:   now,
+
+		ordered: now,
 	}
 
 	if s.Fresh {
@@ -145,10 +148,6 @@
 	}
 
 	t.add(r)
-
-	if n := t.nodes[s.Node]; n.state == onTrial {
-		n.trialStarts++
-	}
 }
 
 func (t *Tracker) add(r *run) {
@@ -192,22 +191,27 @@
 	t.update(now, r)
 }
 
-// End records that a run ended, as done or otherwise. One that was stopped or failed leaves no
-// evidence behind.
+// End records that a run ended, as done or otherwise. One that was stopped or failed counts as of its
+// last reading.
 func (t *Tracker) End(now time.Duration, id job.TaskID, done bool) {
 	r := t.runs[id]
 	if r == nil {
 		return
 	}
 
-	if !done {
+	if !done && !r.known() {
 		t.drop(id)
 
 		return
 	}
 
-	r.end(now)
-	t.update(now, r)
+	r.ended = true
+
+	if done {
+		r.finish(now)
+		t.update(now, r)
+	}
+
 	delete(t.runs, id)
 
 	t.steps[r.step].running--
@@ -258,119 +262,24 @@
 	t.changed[r.node] = true
 }
 
-// Judge decides anew on the workers with new evidence and those that are slow or on trial, and
-// returns those that turned slow or no longer are, in no order.
-func (t *Tracker) Judge(now time.Duration) []Change {
-	var changes []Change
-
-	for name := range t.changed {
-		n := t.nodes[name]
-		n.expire(now)
-
-		if c, ok := t.judge(now, name, n); ok {
-			changes = append(changes, c)
-		}
-
-		if n.state == sound {
-			delete(t.changed, name)
-		}
-	}
-
-	t.sweep(now)
-
-	return changes
-}
-
-// judge decides on one worker and reports whether its state changed from or to slow.
-func (t *Tracker) judge(now time.Duration, name string, n *node) (Change, bool) {
-	was, since := n.state, n.since
-	e := t.evidence(now, name, n)
-
-	switch {
-	case e.slow():
-		n.enter(now, slow)
-
-		return Change{
-			Node:     name,
-			Slow:     true,
-			Evidence: e,
-			Since:    e.earliest,
-		}, was != slow
-	case was == slow && e.sound():
-		n.enter(now, sound)
-	case was == slow && (e.Weight < leastWeight || e.Speed > threshold):
-		n.enter(now, onTrial)
-	case was == onTrial && (now >= n.since+trialLife || t.passed(n)):
-		n.enter(now, sound)
-	default:
-	}
-
-	return Change{
-		Node:     name,
-		Evidence: e,
-		Since:    since,
-	}, was == slow && n.state != slow
-}
+// Avoid reports whether a worker is to get no run while another can take it: it is slow, or has as
+// many runs as it gets on trial.
+func (t *Tracker) Avoid(node string) bool {
+	n := t.nodes[node]
 
-func (n *node) enter(now time.Duration, s state) {
-	if n.state != s {
-		n.state, n.since, n.trialStarts = s, now, 0
-	}
+	return n != nil && (n.state == slow || (n.state == onTrial && n.runsOnTrial() >= trialRuns))
 }
 
-// passed reports whether enough of what was seen since the start of a trial shows that the worker
-// is not slow.
-func (t *Tracker) passed(n *node) bool {
-	passed := 0
+func (n *node) runsOnTrial() int {
+	count := 0
 
 	for _, r := range n.runs {
-		if r.at <= n.since {
-			continue
-		}
-
-		if d, ok := r.deviation(t.steps[r.step]); ok && d > logThreshold {
-			passed++
-		}
-	}
-
-	return passed >= trialRuns
-}
-
-// expire drops the runs that ended too long ago.
-func (n *node) expire(now time.Duration) {
-	n.runs = slices.DeleteFunc(n.runs, func(r *run) bool { return r.ended && now >= r.at+evidenceLife })
-}
-
-// sweep drops the steps that have neither runs nor recent evidence, and workers likewise.
-func (t *Tracker) sweep(now time.Duration) {
-	if now < t.sweptAt+sweepInterval {
-		return
-	}
-
-	t.sweptAt = now
-
-	for s, g := range t.steps {
-		if g.running == 0 && now >= g.changedAt+evidenceLife {
-			delete(t.steps, s)
+		if !r.ended && r.ordered >= n.since {
+			count++
 		}
 	}
 
-	for name, n := range t.nodes {
-		n.expire(now)
-
-		if len(n.runs) == 0 && n.state == sound {
-			delete(t.nodes, name)
-			delete(t.changed, name)
-		}
-	}
-}
-
-// Avoid reports whether a worker is to get no run while another can take it: it is slow, or has
-// been given as many runs as it gets on trial.
-func (t *Tracker) Avoid(node string) bool {
-	n := t.nodes[node]
-
-	return n != nil && (n.state == slow || (n.state == onTrial && n.trialStarts >= trialRuns))
+	return count
 }
 
 // Slow reports whether a worker was judged slow.
@@ -388,7 +297,7 @@
 		return 1, false
 	}
 
-	e := t.evidence(now, node, n)
+	e := t.evidence(now, n, evidenceDecay)
 
 	return e.Speed, e.Jobs >= minJobs
 }
--- a/core/speed/speed_test.go
+++ b/core/speed/speed_test.go
@@ -281,7 +281,8 @@
 }
 
 // TestForgotten checks that a worker that restarted has no evidence against it, and that a run that
-// was stopped leaves none.
+// was stopped before its first reading leaves none. What an earlier process did, or the time for which
+// a run was not reported, would count against the worker.
 func TestForgotten(t *testing.T) {
 	k := speed.New()
 	finish(k, "n1", 2, false, time.Second)
