Avoid slow workers in placements, and move runs away from them

The fleet feeds core/speed with starts, reported percents and ends. A worker that counts as slow is chosen only if no other has room, also for serving tasks, and its runs are stopped if they would end earlier elsewhere: at most three at a time for a worker, each for room that is not meant for another one. A stop that shows no effect is ordered again after 3 s, as long as the move still pays.

What is known of a worker is dropped when its session ends, since the ends of its runs are reported late then. Runs outside the rack of their data are compared with each other alone.

The placement by free cores already avoids a slow worker once its runs pile up, so that the gain lies in the first seconds.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -120,6 +120,8 @@
 	stalls      []Stall
 	losses      []Loss
 	unstored    []UnstoredCheckpoint
+	// slow has the speeds of the workers, or is nil if they are not used.
+	slow *slowWorkers
 	// unawaited has the nodes whose first reports are no longer awaited.
 	unawaited []string
 }
@@ -186,6 +188,7 @@
 	f.wall, f.nextStart = wall, time.Time{}
 	f.expireRuns(now)
 	f.judgeProbes(now)
+	f.judgeSpeeds(now)
 
 	blocked := f.awaitsReports(now)
 	f.sortOpen(now)
@@ -200,6 +203,7 @@
 	}
 
 	f.moveRuns(now)
+	f.moveFromSlow(now)
 
 	orders := f.orders
 	f.orders = map[string]*Orders{}
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -283,6 +283,7 @@
 	}
 
 	f.updateRefusals(now, node, e)
+	f.watchEnd(now, e)
 
 	if t.phase == active {
 		f.release(j, s, t, e.Task)
--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -108,6 +108,7 @@
 
 	r.stopAwaitedUntil = now + stopRepeatDelay
 	w.movedAt = now
+	f.recordMove(w, id, r.attempt, r.moveReason(), 0)
 	t.avoidNode = w.node
 	f.orderStop(w, id, r.attempt)
 }
@@ -140,7 +141,7 @@
 // step now.
 func (f *Fleet) canRunElsewhere(now time.Duration, j *jobInfo, s *stepInfo, here *workerInfo) bool {
 	for _, w := range f.sortedWorkers {
-		if w == here || !f.feasible(now, j, s, w) {
+		if w == here || w.speed.avoided || !f.feasible(now, j, s, w) {
 			continue
 		}
 
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -94,6 +94,8 @@
 			score -= avoidPenalty
 		}
 
+		score -= w.slowPenalty()
+
 		if best == nil || score > bestScore || (score == bestScore && w.node < best.node) {
 			best, bestScore = w, score
 		}
@@ -248,6 +250,7 @@
 	attempt := max(t.lastAttempt(), int(f.term-1)*attemptsPerTerm) + 1
 	placement := w.placement(now)
 	f.assign(now, j, s, t, w, id, attempt)
+	f.watchStart(now, s, t, id)
 	f.orderStart(j, s, t, id, placement)
 }
 
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -40,6 +40,7 @@
 	refusals         refusals
 	quarantinedUntil time.Duration
 	movedAt          time.Duration
+	speed            workerSpeed
 
 	// headrooms is the cached result of computeHeadrooms. It is valid for one
 	// generation of the interference estimates, and until headroomsStale is set by a
@@ -68,6 +69,7 @@
 	// probes means that the run probes its worker after a quarantine, and confirmed that the
 	// worker is known to run it.
 	probes, confirmed bool
+	saved             savedProgress
 }
 
 func (w *workerInfo) addRun(now time.Duration, id job.TaskID, attempt int, s *job.Step) {
@@ -154,6 +156,7 @@
 			w.health = health{}
 			w.quarantinedUntil = 0
 			w.refusals = refusals{}
+			f.forgetSpeed(w)
 		}
 
 		w.dataCentre = r.DataCentre
@@ -230,6 +233,7 @@
 	}
 
 	r := w.runs[g.Task]
+	f.watchProgress(now, w, r, g)
 	r.confirmed = r.confirmed || g.Confirmed
 	w.confirmStart(r)
 	r.readAt = now
@@ -320,6 +324,7 @@
 func (f *Fleet) Disconnected(node string) {
 	if w := f.workers[node]; w != nil {
 		w.connected = false
+		f.forgetSpeed(w)
 	}
 }
 
