--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -102,7 +102,7 @@
 // moveRun stops a run if another worker could run it now.
 func (f *Fleet) moveRun(now time.Duration, w *workerInfo, id job.TaskID, r *run) {
 	j, s, t := f.findTask(id)
-	if j == nil || j.state.Final() || !f.canRunElsewhere(now, j, s, w) {
+	if j == nil || j.state.Final() || !f.mayLeave(now, j, s, w, r) {
 		return
 	}
 
--- a/core/fleet/slow_workers.go
+++ b/core/fleet/slow_workers.go
@@ -141,35 +141,24 @@
 	return s.DataRack != "" && !slices.Contains(w.labels, s.DataRack)
 }
 
-// reading returns the progress of a run, and at which part of full speed the worker let it go. The
-// sizes of all other tasks come first: a filling task gets its part of what they leave at the least.
-func (w *workerInfo) reading(s *job.Step, percent, pace int) speed.Reading {
-	r := speed.Reading{
-		Percent: percent,
-		Least:   1,
-		Most:    1,
-		Age:     readingAge,
-	}
-
-	if w.serving > 0 {
-		r.Age = readingAgeServing
+// limits returns at which part of full speed a worker lets a run go. The sizes of all other tasks come
+// first: a filling task gets its part of what they leave at the least.
+func (w *workerInfo) limits(s *job.Step, pace int) speed.Limits {
+	if !s.Fills {
+		return speed.FullSpeed
 	}
 
-	if !s.Fills {
-		return r
+	idle := float64(max(0, w.capacity.MilliCores-w.used.MilliCores))
+	l := speed.Limits{
+		Pace:  speed.UnknownPace,
+		Share: min(1, idle/float64(max(1, w.fillingMilliCores))),
 	}
 
 	if pace != gate.UnknownPace {
-		r.Most = float64(pace) / 100
-		idle := float64(max(0, w.capacity.MilliCores-w.used.MilliCores))
-		r.Least = r.Most * min(1, idle/float64(max(1, w.fillingMilliCores)))
-	} else {
-		r.Least = 0
+		l.Pace = float64(pace) / 100
 	}
 
-	r.Paced = w.serving > 0
-
-	return r
+	return l
 }
 
 // watchStart records the start of a run.
@@ -180,17 +169,17 @@
 
 	w := t.worker
 	f.slow.tracker.Start(now, speed.Start{
-		Node:    w.node,
-		Task:    id,
-		Step:    speedStep(id, s.spec, w),
-		Fresh:   t.checkpoint == "",
-		Reading: w.reading(s.spec, 0, 100),
+		Node:   w.node,
+		Task:   id,
+		Step:   speedStep(id, s.spec, w),
+		Fresh:  t.checkpoint == "",
+		Limits: w.limits(s.spec, 100),
 	})
 	w.speed.avoided = f.slow.tracker.Avoid(w.node)
 }
 
-// watchProgress records a report of a run before it is applied. One without a change of the percent
-// may be of any age.
+// watchProgress records a report of a run before it is applied. Agents report a pace when it changes; a
+// percent that has not changed may be of any age.
 func (f *Fleet) watchProgress(now time.Duration, w *workerInfo, r *run, g gate.Run) {
 	if f.slow == nil || !g.Confirmed || !comparableProgress(r.step) {
 		return
@@ -203,9 +192,25 @@
 		}
 	}
 
-	if g.ProgressPercent != r.progressPercent {
-		f.slow.tracker.Observe(now, w.node, speedStep(g.Task, r.step, w), g.Task, w.reading(r.step, g.ProgressPercent, g.PacePercent))
+	limits := w.limits(r.step, g.PacePercent)
+
+	if g.ProgressPercent == r.progressPercent {
+		f.slow.tracker.Limit(now, g.Task, limits)
+
+		return
+	}
+
+	reading := speed.Reading{
+		Percent: g.ProgressPercent,
+		Limits:  limits,
+		Age:     readingAge,
+	}
+
+	if w.serving > 0 {
+		reading.Age = readingAgeServing
 	}
+
+	f.slow.tracker.Observe(now, w.node, speedStep(g.Task, r.step, w), g.Task, reading)
 }
 
 // watchEnd records the end of a run.
@@ -366,3 +371,19 @@
 
 	return false
 }
+
+// mayLeave reports whether a run that is slow or stalled is to be stopped: another worker could run it
+// now, or it is paced down in a data centre that is out. There it would stay while the tasks of other
+// jobs take each free place elsewhere; once stopped, it gets one in the order of its job.
+func (f *Fleet) mayLeave(now time.Duration, j *jobInfo, s *stepInfo, w *workerInfo, r *run) bool {
+	return f.canRunElsewhere(now, j, s, w) || (f.slow != nil && f.Out[w.dataCentre] && r.slowSince > 0 && f.suitsElsewhere(j, s, w))
+}
+
+// suitsElsewhere reports whether a usable worker other than one could run a task of a step if it were
+// idle.
+func (f *Fleet) suitsElsewhere(j *jobInfo, s *stepInfo, here *workerInfo) bool {
+	return slices.ContainsFunc(f.sortedWorkers, func(w *workerInfo) bool {
+		return w != here && w.connected && w.ready && !f.Out[w.dataCentre] && w.service == j.record.Service &&
+			(s.spec.Requires == "" || slices.Contains(w.labels, s.spec.Requires)) && w.capacity.CanFit(s.spec.Size)
+	})
+}
--- a/core/speed/run.go
+++ b/core/speed/run.go
@@ -16,11 +16,6 @@
 	window = 3 * time.Second
 	// maxPoints bounds the readings that are kept of a run. With one a second, they cover window.
 	maxPoints = 6
-	// maxPacedGap is the longest time between two readings of a run whose pace may change. Runs
-	// without progress are not reported, so that after a longer one it may have stood still. Within
-	// it, a pace that changes each half second may have been lower for half of the time.
-	maxPacedGap = 1500 * time.Millisecond
-	unseenPace  = 0.5
 	// maxSpread is the widest range, as a logarithm, of a run under way by which others are judged.
 	maxSpread = 1.0
 )
@@ -43,7 +38,11 @@
 	node   string
 	step   Step
 	points []point
-	last   Reading
+	// limits are the last known ones, and least and most the bounds of the time that the run has had
+	// until accountedAt, in seconds at full speed.
+	limits      Limits
+	least, most float64
+	accountedAt time.Duration
 	// ordered is when the run was ordered, 0 if that is unknown.
 	ordered time.Duration
 	// ended means that the run is over, and done that its task is.
@@ -58,43 +57,41 @@
 }
 
 func (r *run) observe(now time.Duration, reading Reading) {
+	r.account(now, reading.Limits)
 	r.addPoint(now, point{
 		percent: reading.Percent,
 		age:     reading.Age.Seconds(),
-	}, reading)
-	r.last = reading
+	})
 }
 
 func (r *run) finish(now time.Duration) {
 	r.done = true
+	r.account(now, r.limits)
 	r.addPoint(now, point{
 		percent: 100,
 		exact:   true,
-	}, r.last)
+	})
 }
 
-// addPoint adds a point after the last one. Between them, the run went at a speed between those of
-// the readings at both.
-func (r *run) addPoint(now time.Duration, p point, reading Reading) {
-	p.at = now
-
-	if len(r.points) > 0 {
-		before := r.points[len(r.points)-1]
-		gap := now - before.at
-		least, most := min(r.last.Least, reading.Least), max(r.last.Most, reading.Most)
-
-		switch {
-		case !reading.Paced && !r.last.Paced:
-		case gap > maxPacedGap:
-			least, most = 0, 1
-		default:
-			least, most = least*unseenPace, 1
-		}
+// account adds the time since the last call: the pace was the one before, and the share no less than
+// the lower one.
+func (r *run) account(now time.Duration, l Limits) {
+	took := (now - r.accountedAt).Seconds()
 
-		p.least = before.least + gap.Seconds()*least
-		p.most = before.most + gap.Seconds()*most
+	if r.limits.Pace == UnknownPace {
+		r.most += took
+	} else {
+		r.most += took * r.limits.Pace
+		r.least += took * r.limits.Pace * min(r.limits.Share, l.Share)
 	}
 
+	r.limits, r.accountedAt = l, now
+}
+
+// addPoint adds a point after the last one.
+func (r *run) addPoint(now time.Duration, p point) {
+	p.at, p.least, p.most = now, r.least, r.most
+
 	if len(r.points) == maxPoints {
 		r.points = append(r.points[:0], r.points[1:]...)
 	}
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -8,15 +8,16 @@
 // The tasks of a step are alike, up to 30% in run time, and estimates are not used. A worker has a
 // speed only relative to the workers that run tasks of the same steps: a step that runs on one
 // worker alone says nothing. What the leader knows of a run is a range: the percent is whole, a
-// reading may be old, and the pace of a filling task changes between readings. Within that range,
-// the speed nearest to that of the others is assumed, so that doubt never speaks against a worker.
+// reading may be old, and how much processor time others leave to a filling task is not known. Within
+// that range, the speed nearest to that of the others is assumed, so that doubt never speaks against a
+// worker.
 //
 // The package does no I/O and has no clock: callers pass in the time of one local monotonic clock.
 //
 // # Usage
 //
 //	t := speed.New()
-//	t.Start(now, speed.Start{Node: node, Task: id, Step: step, Reading: reading})
+//	t.Start(now, speed.Start{Node: node, Task: id, Step: step, Fresh: true, Limits: speed.FullSpeed})
 //	t.Observe(now, node, step, id, reading) // with each report of a run
 //	t.End(now, id, true)
 //	for _, c := range t.Judge(now) { … }
@@ -58,13 +59,27 @@
 type Reading struct {
 	// Percent is the completed part of the task.
 	Percent int
-	// Least and Most bound the part of full speed, between 0 and 1, at which the worker let the run
-	// go: the pace, and the processor time that others leave.
-	Least, Most float64
-	// Age is the greatest age of the reading.
+	Limits
+	// Age is the greatest age of the percent.
 	Age time.Duration
-	// Paced means that the pace may change between two readings.
-	Paced bool
+}
+
+// Limits are parts of full speed, between 0 and 1, at which a worker lets a run go.
+type Limits struct {
+	// Pace is the speed limit that was ordered, which holds from the time of the reading on, or
+	// UnknownPace.
+	Pace float64
+	// Share is the least part of the processor time that the run wants and that others leave.
+	Share float64
+}
+
+// UnknownPace is the pace of a run of which no order is known.
+const UnknownPace = -1
+
+// FullSpeed are the limits of a run that isn't limited.
+var FullSpeed = Limits{
+	Pace:  1,
+	Share: 1,
 }
 
 // Start is the start of a run.
@@ -73,8 +88,8 @@
 	Task job.TaskID
 	Step Step
 	// Fresh means that the task starts from nothing, and not from a checkpoint.
-	Fresh   bool
-	Reading Reading
+	Fresh  bool
+	Limits Limits
 }
 
 // Change is a worker that turned slow, or no longer counts as slow.
@@ -134,10 +149,11 @@
 		task: s.Task,
 		node: s.Node,
 		step: s.Step,
-		last: s.Reading,
 		at:   now,
 
-		ordered: now,
+		ordered:     now,
+		limits:      s.Limits,
+		accountedAt: now,
 	}
 
 	if s.Fresh {
@@ -182,7 +198,9 @@
 			task: id,
 			node: node,
 			step: s,
-			last: reading,
+
+			limits:      reading.Limits,
+			accountedAt: now,
 		}
 		t.add(r)
 	}
@@ -191,6 +209,13 @@
 	t.update(now, r)
 }
 
+// Limit records the limits of a run that is under way, between two readings of its percent.
+func (t *Tracker) Limit(now time.Duration, id job.TaskID, l Limits) {
+	if r := t.runs[id]; r != nil {
+		r.account(now, l)
+	}
+}
+
 // End records that a run ended, as done or otherwise. One that was stopped or failed counts as of its
 // last reading.
 func (t *Tracker) End(now time.Duration, id job.TaskID, done bool) {
