--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -83,6 +83,7 @@
 func newLeader(c *Coordinator, term int64, ls leaseState) *leader {
 	f := fleet.New(term)
 	f.RowBytes = c.settings.Store.RowLimit()
+	enableScheduling(f, c.settings.Scheduling)
 
 	return &leader{
 		c:     c,
@@ -589,6 +590,8 @@
 		l.c.log.Warn("ReportsMissing", zap.Int64("Term", l.term), zap.Strings("Nodes", nodes))
 	}
 
+	l.logSpeeds()
+
 	for _, s := range l.fleet.Stalls() {
 		l.c.log.Warn("TaskStalled", zap.String("Job", s.Task.Job), zap.Stringer("Task", s.Task), zap.String("Node", s.Node))
 	}
--- a/settings/node.go
+++ b/settings/node.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"os"
@@ -18,6 +19,8 @@
 	Store  StoreSection
 	Worker NodeWorkerSection
 	Bounds BoundsSection
+	// Scheduling is for entries, one of which is the leader.
+	Scheduling SchedulingSection
 }
 
 // NodeSection is the section [Node].
@@ -79,6 +82,27 @@
 	DrainGrace time.Duration
 }
 
+// SchedulingSection is the section [Scheduling], which enables parts of the scheduler.
+type SchedulingSection struct {
+	// SlowWorkers makes the leader learn the speeds of workers, and use slow ones last.
+	SlowWorkers bool
+	// RackWaits makes tasks wait for the rack of their data if it has room in time.
+	RackWaits bool
+	// RemoteFactor is how many times as long a task takes outside the rack of its data, or 0 for
+	// defaultRemoteFactor.
+	RemoteFactor float64
+}
+
+const (
+	defaultRemoteFactor = 1.5
+	maxRemoteFactor     = 100
+)
+
+// RemoteRunFactor returns how many times as long a task takes outside the rack of its data.
+func (s SchedulingSection) RemoteRunFactor() float64 {
+	return cmp.Or(s.RemoteFactor, defaultRemoteFactor)
+}
+
 // LoadNode reads and checks the settings of a process on the platform. CheckEntry and
 // CheckAgent check what one of the roles requires in addition.
 func LoadNode(file string) (Node, error) {
@@ -103,6 +127,7 @@
 		"Store":       &n.Store,
 		sectionWorker: &n.Worker,
 		"Bounds":      &n.Bounds,
+		"Scheduling":  &n.Scheduling,
 	}
 
 	for _, s := range declaration.Sections(file, data, &p) {
@@ -110,7 +135,7 @@
 
 		target, ok := targets[s.Name]
 		if !ok {
-			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds]")
+			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds], [Scheduling]")
 
 			continue
 		}
@@ -151,6 +176,11 @@
 
 	p.Section = "Bounds"
 	c.duration("DrainGrace", n.Bounds.DrainGrace, time.Second)
+
+	p.Section = "Scheduling"
+	if f := n.Scheduling.RemoteRunFactor(); !(f >= 1 && f <= maxRemoteFactor) {
+		p.Add("RemoteFactor", fmt.Sprint(f), fmt.Sprintf("1 to %d", maxRemoteFactor))
+	}
 }
 
 // CheckEntry returns an error for each setting that an entry requires and n lacks.
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -37,6 +37,10 @@
 		"RowBytes": {"Address = 10.200.1.7:8169", "Address = 10.200.1.7:8169\nRowBytes = 9", "RowBytes"},
 		"Section":  {"[Bounds]", "[Limits]", "Limits"},
 		"Key":      {"MemoryMB", "MemoryGB", "MemoryGB"},
+		"Speeds":   {"[Bounds]", "[Scheduling]\nSlowWorkers = perhaps\n[Bounds]", "SlowWorkers"},
+		"Racks":    {"[Bounds]", "[Scheduling]\nRackWaits = 1.5\n[Bounds]", "RackWaits"},
+		"Factor":   {"[Bounds]", "[Scheduling]\nRemoteFactor = 0.5\n[Bounds]", "RemoteFactor"},
+		"NoFactor": {"[Bounds]", "[Scheduling]\nRemoteFactor = NaN\n[Bounds]", "RemoteFactor"},
 	}
 
 	for name, c := range tests {
@@ -56,6 +60,19 @@
 	}
 }
 
+// TestScheduling checks that the parts of the scheduler are off without a key, and on with it.
+func TestScheduling(t *testing.T) {
+	n, err := ParseNode("node.ini", []byte(nodeText))
+	assert.NilError(t, err)
+	assert.Equal(t, n.Scheduling, SchedulingSection{})
+	assert.Equal(t, n.Scheduling.RemoteRunFactor(), 1.5)
+
+	n, err = ParseNode("node.ini", []byte(nodeText+"[Scheduling]\nSlowWorkers = true\nRackWaits = true\nRemoteFactor = 2.5\n"))
+	assert.NilError(t, err)
+	assert.Assert(t, n.Scheduling.SlowWorkers && n.Scheduling.RackWaits)
+	assert.Equal(t, n.Scheduling.RemoteRunFactor(), 2.5)
+}
+
 // FuzzParseNode checks that no input makes the parser panic.
 func FuzzParseNode(f *testing.F) {
 	f.Add(nodeText)
