Judge only workers with slow runs

Each worker with new evidence was judged in full, twice. One without two slow runs has nothing to judge.

--- a/core/speed/evidence.go
+++ b/core/speed/evidence.go
@@ -80,12 +80,8 @@
 
 // deviation returns the logarithm of the speed of a run relative to those elsewhere, and whether
 // there is something to say: it is slower, faster, or certainly not much slower.
-func (r *run) deviation(g *group) (float64, bool) {
-	if g == nil {
-		return 0, false
-	}
-
-	typical, n := g.elsewhere(r.node)
+func (r *run) deviation() (float64, bool) {
+	typical, n := r.group.elsewhere(r.node)
 
 	switch {
 	case n == 0:
@@ -120,6 +116,20 @@
 	return e.Weight >= leastWeight && math.Log(e.Speed) > logSoundSpeed
 }
 
+// suspected reports whether a worker has as many slow runs as jobs are required: without, there is
+// nothing to judge, which is so for most workers.
+func (t *Tracker) suspected(now time.Duration, n *node) bool {
+	count := 0
+
+	for _, r := range n.runs {
+		if d, ok := r.deviation(); ok && d < logThreshold && now < r.at+evidenceLife {
+			count++
+		}
+	}
+
+	return count >= minJobs
+}
+
 // share is what the runs of a worker say in one step.
 type share struct {
 	step          Step
@@ -167,7 +177,7 @@
 
 runs:
 	for _, r := range n.runs {
-		d, ok := r.deviation(t.steps[r.step])
+		d, ok := r.deviation()
 		if !ok || now >= r.at+evidenceLife {
 			continue
 		}
@@ -187,7 +197,7 @@
 			}
 		}
 
-		_, elsewhere := t.steps[r.step].elsewhere(r.node)
+		_, elsewhere := r.group.elsewhere(r.node)
 		shares = append(shares, share{
 			step:      r.step,
 			total:     w * d,
--- a/core/speed/judge.go
+++ b/core/speed/judge.go
@@ -14,6 +14,12 @@
 		n := t.nodes[name]
 		n.expire(now)
 
+		if n.state == sound && !t.suspected(now, n) {
+			delete(t.changed, name)
+
+			continue
+		}
+
 		if c, ok := t.judge(now, name, n); ok {
 			changes = append(changes, c)
 		}
@@ -79,7 +85,7 @@
 			continue
 		}
 
-		if d, ok := r.deviation(t.steps[r.step]); ok && d > logThreshold {
+		if d, ok := r.deviation(); ok && d > logThreshold {
 			passed++
 		}
 	}
--- a/core/speed/run.go
+++ b/core/speed/run.go
@@ -34,9 +34,11 @@
 
 // run is what is known of one run.
 type run struct {
-	task   job.TaskID
-	node   string
-	step   Step
+	task job.TaskID
+	node string
+	step Step
+	// group has the durations of the step's tasks.
+	group  *group
 	points []point
 	// limits are the last known ones, and least and most the bounds of the time that the run has had
 	// until accountedAt, in seconds at full speed.
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -185,6 +185,7 @@
 	}
 
 	g.running++
+	r.group = g
 }
 
 // Observe records a reading of a run. A run that is unknown began before this tracker.
@@ -239,7 +240,7 @@
 
 	delete(t.runs, id)
 
-	t.steps[r.step].running--
+	r.group.running--
 }
 
 // Forget drops all evidence on a worker, which restarted or left.
@@ -268,7 +269,7 @@
 
 	delete(t.runs, id)
 
-	g := t.steps[r.step]
+	g := r.group
 	g.running--
 	g.replace(r, nil)
 
@@ -280,7 +281,7 @@
 func (t *Tracker) update(now time.Duration, r *run) {
 	r.measure()
 
-	g := t.steps[r.step]
+	g := r.group
 	g.changedAt = now
 	g.replace(r, r.typical())
 
