--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -89,9 +89,7 @@
 func newLeader(c *Coordinator, term int64, ls leaseState) *leader {
 	f := fleet.New(term)
 	f.RowBytes = c.settings.Store.RowLimit()
-	f.LookAhead = c.settings.Scheduling.LookAhead
-	f.Order = c.settings.Scheduling.Order
-	f.Preemption = c.settings.Scheduling.Preemption
+	enableScheduling(f, c.settings.Scheduling)
 
 	return &leader{
 		c:     c,
@@ -622,6 +620,8 @@
 			zap.String("Node", p.Node), zap.String("For", p.For), zap.Int64("LostWork", p.LostWork))
 	}
 
+	l.logSpeeds()
+
 	for _, s := range l.fleet.Stalls() {
 		l.c.log.Warn("TaskStalled", zap.String("Job", s.Task.Job), zap.Stringer("Task", s.Task), zap.String("Node", s.Node))
 	}
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -62,6 +62,8 @@
 	// is one, and reservedLate that one was late since the last start of a task of the step.
 	searchAt               time.Duration
 	reserved, reservedLate bool
+	// rackSince is when the first task began to wait for the rack of its data, or 0.
+	rackSince time.Duration
 }
 
 func (s *stepInfo) complete() bool { return s.done == len(s.tasks) }
@@ -294,6 +296,7 @@
 	}
 
 	f.updateRefusals(now, node, e)
+	f.watchEnd(now, e)
 
 	if t.phase == active {
 		f.release(j, s, t, e.Task)
--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -102,12 +102,13 @@
 // moveRun stops a run if another worker could run it now.
 func (f *Fleet) moveRun(now time.Duration, w *workerInfo, id job.TaskID, r *run) {
 	j, s, t := f.findTask(id)
-	if j == nil || j.state.Final() || !f.canRunElsewhere(now, j, s, w) {
+	if j == nil || j.state.Final() || !f.mayLeave(now, j, s, w, r) {
 		return
 	}
 
 	r.stopAwaitedUntil = now + stopRepeatDelay
 	w.movedAt = now
+	f.recordMove(w, id, r.attempt, r.moveReason(), 0)
 	t.avoidNode = w.node
 	f.orderStop(w, id, r.attempt)
 }
@@ -140,7 +141,7 @@
 // step now.
 func (f *Fleet) canRunElsewhere(now time.Duration, j *jobInfo, s *stepInfo, here *workerInfo) bool {
 	for _, w := range f.sortedWorkers {
-		if w == here || !f.feasible(now, j, s, w) || !f.mayUse(now, j, s, w) {
+		if w == here || w.speed.avoided || !f.feasible(now, j, s, w) || !f.mayUse(now, j, s, w) {
 			continue
 		}
 
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -85,6 +85,21 @@
 		return nil
 	}
 
+	best := f.bestWorker(now, j, s, t)
+
+	if f.awaitsRack(now, j, s, best) {
+		return nil
+	}
+
+	if best == nil && s.spec.AntiAffinity == 0 && !s.spec.Gang {
+		f.rejected.add(c, s.spec.Size)
+	}
+
+	return best
+}
+
+// bestWorker returns the feasible worker with the highest score for a task, or nil.
+func (f *Fleet) bestWorker(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo) *workerInfo {
 	var (
 		best      *workerInfo
 		bestScore int64
@@ -104,15 +119,13 @@
 			score -= avoidPenalty
 		}
 
+		score -= w.slowPenalty()
+
 		if best == nil || score > bestScore || (score == bestScore && w.node < best.node) {
 			best, bestScore = w, score
 		}
 	}
 
-	if best == nil && s.spec.AntiAffinity == 0 && !s.spec.Gang {
-		f.rejected.add(c, s.spec.Size)
-	}
-
 	return best
 }
 
@@ -270,6 +283,7 @@
 	attempt := max(t.lastAttempt(), int(f.term-1)*attemptsPerTerm) + 1
 	placement := w.placement(now)
 	f.assign(now, j, s, t, w, id, attempt)
+	f.watchStart(now, s, t, id)
 	f.orderStart(j, s, t, id, placement)
 }
 
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -43,6 +43,7 @@
 	quarantinedUntil time.Duration
 	movedAt          time.Duration
 	clearing         clearing
+	speed            workerSpeed
 
 	// headrooms is the cached result of computeHeadrooms. It is valid for one
 	// generation of the interference estimates, and until headroomsStale is set by a
@@ -74,6 +75,7 @@
 	// probes means that the run probes its worker after a quarantine, and confirmed that the
 	// worker is known to run it.
 	probes, confirmed bool
+	saved             savedProgress
 }
 
 func (w *workerInfo) addRun(now time.Duration, id job.TaskID, attempt int, s *job.Step) {
@@ -160,6 +162,7 @@
 			w.health = health{}
 			w.quarantinedUntil = 0
 			w.refusals = refusals{}
+			f.forgetSpeed(w)
 		}
 
 		w.dataCentre = r.DataCentre
@@ -238,6 +241,7 @@
 	}
 
 	r := w.runs[g.Task]
+	f.watchProgress(now, w, r, g)
 	r.confirmed = r.confirmed || g.Confirmed
 	w.confirmStart(r)
 	r.readAt = now
@@ -328,6 +332,7 @@
 func (f *Fleet) Disconnected(node string) {
 	if w := f.workers[node]; w != nil {
 		w.connected = false
+		f.forgetSpeed(w)
 	}
 }
 
--- a/settings/node.go
+++ b/settings/node.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"os"
@@ -15,10 +16,12 @@
 // Node has the settings of a process on the users' platform, which generates them from
 // a template.
 type Node struct {
-	Node       NodeSection
-	Store      StoreSection
-	Worker     NodeWorkerSection
-	Bounds     BoundsSection
+	Node   NodeSection
+	Store  StoreSection
+	Worker NodeWorkerSection
+	Bounds BoundsSection
+	// Scheduling is for entries, one of which is the leader. Agents only use what
+	// ReportsProgress says.
 	Scheduling SchedulingSection
 }
 
@@ -81,8 +84,8 @@
 	DrainGrace time.Duration
 }
 
-// SchedulingSection is the section [Scheduling], which may be left out. Agents only use what
-// ReportsProgress says.
+// SchedulingSection is the section [Scheduling], which may be left out. Its keys enable parts of
+// the scheduler.
 type SchedulingSection struct {
 	// Order is the order of waiting jobs within a priority.
 	Order backlog.Policy
@@ -93,10 +96,27 @@
 	Preemption bool
 	// LookAhead enables reservations for tasks that no worker has room for.
 	LookAhead bool
+	// SlowWorkers makes the leader learn the speeds of workers, and use slow ones last.
+	SlowWorkers bool
+	// RackWaits makes tasks wait for the rack of their data if it has room in time.
+	RackWaits bool
+	// RemoteFactor is how many times as long a task takes outside the rack of its data, or 0 for
+	// defaultRemoteFactor.
+	RemoteFactor float64
 }
 
 // ReportsProgress reports whether an agent reports the progress of runs once a second.
-func (s SchedulingSection) ReportsProgress() bool { return s.LookAhead }
+func (s SchedulingSection) ReportsProgress() bool { return s.LookAhead || s.SlowWorkers || s.RackWaits }
+
+const (
+	defaultRemoteFactor = 1.5
+	maxRemoteFactor     = 100
+)
+
+// RemoteRunFactor returns how many times as long a task takes outside the rack of its data.
+func (s SchedulingSection) RemoteRunFactor() float64 {
+	return cmp.Or(s.RemoteFactor, defaultRemoteFactor)
+}
 
 // LoadNode reads and checks the settings of a process on the platform. CheckEntry and
 // CheckAgent check what one of the roles requires in addition.
@@ -187,6 +207,10 @@
 	if s.Admission && s.Order != backlog.Fair {
 		p.Add("Admission", "true without Order = "+string(backlog.Fair), "false, or Order = "+string(backlog.Fair))
 	}
+
+	if f := s.RemoteRunFactor(); !(f >= 1 && f <= maxRemoteFactor) {
+		p.Add("RemoteFactor", fmt.Sprint(f), fmt.Sprintf("1 to %d", maxRemoteFactor))
+	}
 }
 
 // CheckEntry returns an error for each setting that an entry requires and n lacks.
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -48,6 +48,10 @@
 		"Admission":  {"[Bounds]", "[Scheduling]\nAdmission = true\n[Bounds]", "[Scheduling] Admission"},
 		"Preemption": {"[Bounds]", "[Scheduling]\nPreemption = yes\n[Bounds]", "[Scheduling] Preemption"},
 		"Scheduling": {"[Bounds]", "[Scheduling]\nOrder = Fair\nAdmission = true\nPreemption = true\n[Bounds]", ""},
+		"Speeds":     {"[Bounds]", "[Scheduling]\nSlowWorkers = perhaps\n[Bounds]", "SlowWorkers"},
+		"Racks":      {"[Bounds]", "[Scheduling]\nRackWaits = 1.5\n[Bounds]", "RackWaits"},
+		"Factor":     {"[Bounds]", "[Scheduling]\nRemoteFactor = 0.5\n[Bounds]", "RemoteFactor"},
+		"NoFactor":   {"[Bounds]", "[Scheduling]\nRemoteFactor = NaN\n[Bounds]", "RemoteFactor"},
 	}
 
 	for name, c := range tests {
@@ -69,11 +73,17 @@
 	}
 }
 
-// TestSchedulingDefaults checks that nothing is switched on by default.
-func TestSchedulingDefaults(t *testing.T) {
+// TestScheduling checks that the parts of the scheduler are off without a key, and on with it.
+func TestScheduling(t *testing.T) {
 	n, err := ParseNode("node.ini", []byte(nodeText))
 	assert.NilError(t, err)
 	assert.Equal(t, n.Scheduling, SchedulingSection{Order: backlog.ByDeadline})
+	assert.Equal(t, n.Scheduling.RemoteRunFactor(), 1.5)
+
+	n, err = ParseNode("node.ini", []byte(nodeText+"[Scheduling]\nSlowWorkers = true\nRackWaits = true\nRemoteFactor = 2.5\n"))
+	assert.NilError(t, err)
+	assert.Assert(t, n.Scheduling.SlowWorkers && n.Scheduling.RackWaits)
+	assert.Equal(t, n.Scheduling.RemoteRunFactor(), 2.5)
 }
 
 // FuzzParseNode checks that no input makes the parser panic.
