--- a/integration/hosted_deployment_test.go
+++ b/integration/hosted_deployment_test.go
@@ -32,6 +32,8 @@
 	hostedHost    = "tints.example"
 	hostedPrefix  = "/tints/"
 	hostedService = "orders"
+	// hostedMemoryMB is the memory of an agent on the users' platform.
+	hostedMemoryMB = 152
 	// finishTimeout bounds each wait for jobs, for a leader or for a ready entry.
 	finishTimeout = 30 * time.Second
 )
@@ -50,6 +52,8 @@
 	random        *rand.Rand
 	// storeRefuses has a flag for each entry that makes the store refuse its calls.
 	storeRefuses []*atomic.Bool
+	// memoryMB is the memory limit of each process.
+	memoryMB int
 	// proxied is whether the store is reached through storeProxies, one for each
 	// address that serves it.
 	proxied      bool
@@ -160,6 +164,8 @@
 		store:   emulator.NewRowStore(),
 		random:  rand.New(rand.NewPCG(1, uint64(network))),
 		specs:   map[string]job.Spec{},
+
+		memoryMB: hostedMemoryMB,
 	}
 }
 
@@ -303,13 +309,14 @@
 Name = %s
 DataCentre = lannion
 IP = %s
-%sPeerPort = 7720
-MemoryMB = 152
+%sMetricsAddress = %s:9464
+PeerPort = 7720
+MemoryMB = %d
 [Store]
 Address = %s
 %s[Bounds]
 DrainGrace = 6s
-`, name, ip, node, h.storeAddress, worker)
+`, name, ip, node, ip, h.memoryMB, h.storeAddress, worker)
 	file := filepath.Join(h.t.TempDir(), name+".ini")
 	assert.NilError(h.t, os.WriteFile(file, []byte(text), 0o600))
 
