Add the section [Limits] to the settings of trefoildeck-node

It says what clients may hold.

TestNode used [Limits] as the name of an unknown section; it uses [Limit] now.

--- a/settings/node.go
+++ b/settings/node.go
@@ -18,6 +18,7 @@
 	Store  StoreSection
 	Worker NodeWorkerSection
 	Bounds BoundsSection
+	Limits LimitsSection
 }
 
 // NodeSection is the section [Node].
@@ -93,16 +94,16 @@
 // ParseNode reads and checks the settings of a process on the platform; file names them
 // in errors.
 func ParseNode(file string, data []byte) (Node, error) {
-	var (
-		n Node
-		p resource.Problems
-	)
+	var p resource.Problems
+
+	n := Node{Limits: defaultLimits()}
 
 	targets := map[string]any{
 		sectionNode:   &n.Node,
 		"Store":       &n.Store,
 		sectionWorker: &n.Worker,
 		"Bounds":      &n.Bounds,
+		sectionLimits: &n.Limits,
 	}
 
 	for _, s := range declaration.Sections(file, data, &p) {
@@ -110,7 +111,7 @@
 
 		target, ok := targets[s.Name]
 		if !ok {
-			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds]")
+			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds], [Limits]")
 
 			continue
 		}
@@ -151,6 +152,8 @@
 
 	p.Section = "Bounds"
 	c.duration("DrainGrace", n.Bounds.DrainGrace, time.Second)
+
+	n.Limits.check(p, n.Node.MemoryMB)
 }
 
 // CheckEntry returns an error for each setting that an entry requires and n lacks.
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -35,7 +35,7 @@
 		"Ports":    {"PeerPort = 7720", "PeerPort = 0", "PeerPort"},
 		"Duration": {"6s", "six", "DrainGrace"},
 		"RowBytes": {"Address = 10.200.1.7:8169", "Address = 10.200.1.7:8169\nRowBytes = 9", "RowBytes"},
-		"Section":  {"[Bounds]", "[Limits]", "Limits"},
+		"Section":  {"[Bounds]", "[Limit]", "Limit"},
 		"Key":      {"MemoryMB", "MemoryGB", "MemoryGB"},
 	}
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -138,6 +138,7 @@
 	sectionNode   = "Node"
 	sectionWorker = "Worker"
 	sectionTLS    = "TLS"
+	sectionLimits = "Limits"
 )
 
 // Defaults and limits.
