Bound what a peer may send before its Hello

A first frame could have 1 MiB, and up to 256 further streams a window of 256 kB each, before it was known who sent them. A Hello may have 64 KiB now. OnHello tells when a connection is a session. A connection that ends without a Hello ends with ErrNoHello, whatever ended it.

--- a/io/peer/frame.go
+++ b/io/peer/frame.go
@@ -37,6 +37,8 @@
 const (
 	// MaxFrame is the largest encoded message, in bytes.
 	MaxFrame = 1 << 20
+	// maxHello is the largest encoded Hello, in bytes: anyone may send one.
+	maxHello = 64 << 10
 	// ChunkSize is the size of one chunk of a body, in bytes.
 	ChunkSize = 32 << 10
 	// keepAliveInterval and writeTimeout bound how long a dead connection goes
@@ -66,8 +68,11 @@
 }
 
 // readMessage reads one length-delimited message of bounded size.
-func readMessage(r *bufio.Reader, m proto.Message) error {
-	options := protodelim.UnmarshalOptions{MaxSize: MaxFrame}
+func readMessage(r *bufio.Reader, m proto.Message) error { return readBounded(r, m, MaxFrame) }
+
+// readBounded reads one length-delimited message of at most limit bytes.
+func readBounded(r *bufio.Reader, m proto.Message, limit int64) error {
+	options := protodelim.UnmarshalOptions{MaxSize: limit}
 	if err := options.UnmarshalFrom(r, m); err != nil {
 		return fmt.Errorf("read message: %w", err)
 	}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -15,8 +15,8 @@
 	"github.com/rotisserie/eris"
 )
 
-// ErrNoHello says that a peer's first frame was not a Hello.
-var ErrNoHello = eris.New("the first frame is not a Hello")
+// ErrNoHello says that a connection ended before a Hello, or with another first frame.
+var ErrNoHello = eris.New("no Hello")
 
 // Server accepts sessions from peers.
 type Server struct {
@@ -29,6 +29,11 @@
 	OnFrame func(*Session, *peerpb.Frame)
 	// OnClose is called once for each session that OnOpen accepted.
 	OnClose func(*Session)
+	// OnHello is called with each connection whose Hello has arrived. It may be nil.
+	OnHello func(net.Conn)
+	// MaxStreams bounds the streams that a peer opens and that are not accepted, and those that
+	// are being opened to it; 0 for yamux's default.
+	MaxStreams int
 	// OnError is called with the error that ended a connection.
 	OnError func(remote string, err error)
 }
@@ -72,7 +77,12 @@
 
 	joined := newCoalescer(secured)
 
-	mux, err := yamux.Server(joined, yamuxConfig())
+	config := yamuxConfig()
+	if s.MaxStreams > 0 {
+		config.AcceptBacklog = s.MaxStreams
+	}
+
+	mux, err := yamux.Server(joined, config)
 	if err != nil {
 		return fmt.Errorf("start session: %w", err)
 	}
@@ -80,7 +90,11 @@
 
 	session, err := accept(ctx, mux, joined)
 	if err != nil {
-		return err
+		return fmt.Errorf("%w: %w", ErrNoHello, err)
+	}
+
+	if s.OnHello != nil {
+		s.OnHello(conn)
 	}
 
 	if err := s.OnOpen(session); err != nil {
@@ -124,12 +138,12 @@
 	}
 
 	var f peerpb.Frame
-	if err := readMessage(session.reader, &f); err != nil {
+	if err := readBounded(session.reader, &f, maxHello); err != nil {
 		return nil, fmt.Errorf("read hello: %w", err)
 	}
 
 	if f.GetHello() == nil {
-		return nil, ErrNoHello
+		return nil, eris.New("another frame")
 	}
 
 	session.Hello = f.GetHello()
