--- a/settings/node.go
+++ b/settings/node.go
@@ -20,6 +20,7 @@
 	Store  StoreSection
 	Worker NodeWorkerSection
 	Bounds BoundsSection
+	Limits LimitsSection
 	// Scheduling is for entries, one of which is the leader. Agents only use what
 	// ReportsProgress says.
 	Scheduling SchedulingSection
@@ -134,13 +135,17 @@
 func ParseNode(file string, data []byte) (Node, error) {
 	var p resource.Problems
 
-	n := Node{Scheduling: SchedulingSection{Order: backlog.ByDeadline}}
+	n := Node{
+		Limits:     defaultLimits(),
+		Scheduling: SchedulingSection{Order: backlog.ByDeadline},
+	}
 
 	targets := map[string]any{
 		sectionNode:       &n.Node,
 		"Store":           &n.Store,
 		sectionWorker:     &n.Worker,
 		"Bounds":          &n.Bounds,
+		sectionLimits:     &n.Limits,
 		sectionScheduling: &n.Scheduling,
 	}
 
@@ -149,7 +154,7 @@
 
 		target, ok := targets[s.Name]
 		if !ok {
-			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds], [Scheduling]")
+			p.Add("", "an unknown section", "[Node], [Store], [Worker], [Bounds], [Limits], [Scheduling]")
 
 			continue
 		}
@@ -194,6 +199,7 @@
 	p.Section = "Bounds"
 	c.duration("DrainGrace", n.Bounds.DrainGrace, time.Second)
 
+	n.Limits.check(p, n.Node.MemoryMB)
 	n.Scheduling.check(p)
 }
 
