Place tasks by which images disturb each other, and move paced runs first

What callers saw: filling jobs late beside idle workers.

Cause: a few filling images make up much of the work and are slowed by serving tasks on nearly all workers; the workers that suit them are full of tasks that could run anywhere; and tasks of other jobs take each free place before a paced run can move.

Change (core/colocation, core/fleet, setting Colocation): prices of scarce workers; serving tasks placed and moved by the filling work that they keep from running; paced runs moved in the order of their jobs, with room held for them.

--- a/coordinator/scheduling.go
+++ b/coordinator/scheduling.go
@@ -3,6 +3,8 @@
 import (
 	"trefoildeck/core/fleet"
 	"trefoildeck/settings"
+
+	"go.uber.org/zap"
 )
 
 // enableScheduling enables the parts of a scheduler that the settings ask for.
@@ -10,6 +12,7 @@
 	f.Order = s.Order
 	f.Preemption = s.Preemption
 	f.LookAhead = s.LookAhead
+	f.Colocation = s.Colocation
 
 	if s.SlowWorkers {
 		f.EnableSlowWorkers()
@@ -19,3 +22,12 @@
 		f.EnableRackWaits(s.RemoteRunFactor())
 	}
 }
+
+// logServingMoves logs and counts the serving tasks that are moved. The caller holds l.mu.
+func (l *leader) logServingMoves() {
+	for _, m := range l.fleet.ServingMoves() {
+		l.c.meter.Count("serving_tasks_moved_total")
+		l.c.log.Info("ServingTaskMoved", zap.String("Job", m.Task.Job), zap.Stringer("Task", m.Task), zap.Int("Attempt", m.Attempt),
+			zap.String("Node", m.Node), zap.String("To", m.To), zap.Float64("Gain", m.Gain))
+	}
+}
--- /dev/null
+++ b/core/fleet/colocation_test.go
@@ -0,0 +1,292 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"trefoildeck/core/gate"
+	"trefoildeck/core/interference"
+	"trefoildeck/core/job"
+
+	"gotest.tools/v3/assert"
+)
+
+// newColocationFleet returns a fleet with colocation and workers n1, n2… of 32 cores. The filling image
+// "hot" slows the serving image "api" and no other, and "any" slows none.
+func newColocationFleet(workers int) *Fleet {
+	f := New(1)
+	f.Colocation = true
+	f.AwaitReports(0, nil, nil)
+
+	for i := range workers {
+		r := described(fmt.Sprintf("n%d", i+1))
+		r.Capacity = job.Size{
+			MilliCores: 32_000,
+			MemoryMB:   125_000,
+		}
+		f.Report(0, fmt.Sprintf("n%d", i+1), r)
+	}
+
+	estimates := map[interference.Pair]interference.Estimate{}
+
+	for _, filling := range []string{"hot", "any"} {
+		for _, serving := range []string{"api", "search"} {
+			e := interference.Estimate{Weight: 1}
+			if filling == "hot" && serving == "api" {
+				e.Factor = 10
+			}
+
+			estimates[interference.Pair{
+				Filling: filling,
+				Serving: serving,
+			}] = e
+		}
+	}
+
+	f.Interference.Put("n1", estimates)
+
+	return f
+}
+
+// servingImage returns a step of serving tasks of 6.4 cores.
+func servingImage(count int, image string) job.Step {
+	s := step(count)
+	s.LongRunning, s.TargetLatency, s.Image = true, 150*time.Millisecond, image
+	s.Size.MilliCores = 6400
+
+	return s
+}
+
+// fillingImage returns a step of filling tasks of 3.5 cores.
+func fillingImage(count int, image string) job.Step {
+	s := step(count)
+	s.Fills, s.Checkpointing, s.Image = true, true, image
+	s.Size.MilliCores = 3500
+
+	return s
+}
+
+// reportRuns reports all runs of a fleet as at work, with a latency for serving tasks and a pace.
+func reportRuns(f *Fleet, now time.Duration, latency int64, pace map[job.TaskID]int) {
+	for _, w := range f.sortedWorkers {
+		var r Report
+
+		for id, run := range w.runs {
+			g := gate.Run{
+				Task:            id,
+				Attempt:         run.attempt,
+				ProgressPercent: 10,
+				PacePercent:     100,
+				Confirmed:       true,
+				OrderKnown:      true,
+			}
+
+			if run.step.TargetLatency > 0 {
+				g.ProgressPercent, g.Measurement = 100, latency
+			}
+
+			if p, ok := pace[id]; ok {
+				g.PacePercent = p
+			}
+
+			r.Runs = append(r.Runs, g)
+		}
+
+		f.Report(now, w.node, r)
+	}
+}
+
+// runsOf returns the number of a job's runs by node.
+func runsOf(f *Fleet, id string) map[string]int {
+	runs := map[string]int{}
+
+	for _, w := range f.sortedWorkers {
+		for t := range w.runs {
+			if t.Job == id {
+				runs[w.node]++
+			}
+		}
+	}
+
+	return runs
+}
+
+// TestScarceWorkerKept checks that tasks of an image that could run anywhere leave the only worker that
+// suits another image to its tasks. They took it, and the others waited beside idle workers.
+func TestScarceWorkerKept(t *testing.T) {
+	tests := map[string]struct {
+		colocation bool
+		kept       bool
+	}{
+		"On":  {true, true},
+		"Off": {false, false},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newColocationFleet(4)
+			f.Colocation = c.colocation
+
+			// Four tasks on each of three workers, and one on the fourth, which has most room.
+			f.Add(0, 0, record(jobA, servingImage(12, "api")))
+			f.Add(0, 0, record(jobB, servingImage(1, "search")))
+			f.Schedule(0, time.Time{})
+			reportRuns(f, time.Second, 60, nil)
+
+			// Accepted first, so that they are placed first.
+			f.Add(time.Second, 0, record(jobC, fillingImage(11, "any")))
+			f.Add(time.Second, 0, record(jobD, fillingImage(8, "hot")))
+			f.Schedule(time.Second, time.Time{})
+
+			suits := ""
+			for n := range runsOf(f, jobB) {
+				suits = n
+			}
+
+			assert.Equal(t, runsOf(f, jobD)[suits] >= 6, c.kept, "any: %v, hot: %v", runsOf(f, jobC), runsOf(f, jobD))
+		})
+	}
+}
+
+// TestServingTaskMoved checks that a serving task that alone keeps filling work from its worker is moved
+// beside others that do the same, but not before it has served for a while, nor while another task of
+// its step is not at work. The work waited for as long as the serving task ran.
+func TestServingTaskMoved(t *testing.T) {
+	tests := map[string]struct {
+		now      time.Duration
+		starting bool
+		moves    int
+	}{
+		"Served":      {6 * time.Second, false, 1},
+		"JustStarted": {4 * time.Second, false, 0},
+		"OtherStarts": {6 * time.Second, true, 0},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newColocationFleet(2)
+			f.Add(0, 0, record(jobA, servingImage(3, "api")))
+			f.Schedule(0, time.Time{})
+			f.Add(0, 0, record(jobB, servingImage(3, "search")))
+			f.Schedule(0, time.Time{})
+
+			api := f.sortedWorkers[0]
+			if runsOf(f, jobA)[api.node] == 0 {
+				api = f.sortedWorkers[1]
+			}
+
+			// The worker beside whose tasks it belongs takes nothing for a moment.
+			api.ready = false
+			f.Add(0, 0, record(jobC, servingImage(2, "api")))
+			f.Schedule(0, time.Time{})
+
+			api.ready = true
+			assert.Equal(t, runsOf(f, jobC)[api.node], 0)
+
+			f.Add(time.Second, 0, record(jobD, fillingImage(40, "hot")))
+			reportRuns(f, c.now, 60, nil)
+
+			if c.starting {
+				for _, w := range f.sortedWorkers {
+					for id, r := range w.runs {
+						if id == (job.TaskID{Job: jobC, Index: 1}) {
+							r.progressPercent = 0
+						}
+					}
+				}
+			}
+
+			orders := f.Schedule(c.now, time.Time{})
+			moves := f.ServingMoves()
+			assert.Equal(t, len(moves), c.moves)
+			assert.Equal(t, stops(orders), c.moves)
+
+			for _, m := range moves {
+				assert.Equal(t, m.Task.Job, jobC)
+				assert.Equal(t, m.To, api.node)
+				assert.Assert(t, m.Gain >= 2)
+			}
+		})
+	}
+}
+
+// TestPacedRunMovedFirst checks that a run that is paced down gets the room that becomes free before
+// tasks that wait, if its job comes first, and that the room is kept for it until it has stopped. Tasks
+// of other jobs took each free place, and the run stood still for 10 to 18 s.
+func TestPacedRunMovedFirst(t *testing.T) {
+	f := newColocationFleet(1)
+
+	f.Add(0, 0, record(jobA, servingImage(4, "api")))
+	f.Add(0, 0, record(jobC, fillingImage(1, "hot")))
+	f.Schedule(0, time.Time{})
+	assert.Equal(t, runsOf(f, jobC)["n1"], 1)
+
+	// A worker without serving tasks comes, and is full.
+	const full = "n2"
+
+	r := described(full)
+	r.Capacity = f.sortedWorkers[0].capacity
+	f.Report(0, full, r)
+
+	busy := step(1)
+	busy.Size.MilliCores = 32_000
+	f.Add(0, 0, record(jobB, busy))
+	f.Schedule(0, time.Time{})
+	assert.Equal(t, runsOf(f, jobB)[full], 1)
+
+	id := job.TaskID{Job: jobC}
+	reportRuns(f, time.Second, 140, map[job.TaskID]int{id: 0})
+	// More tasks than there is room for, of a job that comes later.
+	f.Add(time.Second, 0, record(jobD, fillingImage(40, "any")))
+	reportRuns(f, 2*time.Second, 140, map[job.TaskID]int{id: 0})
+	f.RecordEnd(2*time.Second, full, end(full, 1, jobB, 1, gate.Done).End)
+
+	orders := f.Schedule(2*time.Second, time.Time{})
+	assert.Equal(t, stops(orders), 1)
+	assert.Equal(t, f.Moves()[0].Task, id)
+
+	// While the stop is under way, its room stays free.
+	f.Schedule(2500*time.Millisecond, time.Time{})
+	f.RecordEnd(2800*time.Millisecond, f.tasksNode(id), gate.End{
+		Number:     1,
+		Task:       id,
+		Attempt:    1,
+		Reason:     gate.Stopped,
+		Checkpoint: "saved",
+	})
+	f.Schedule(2800*time.Millisecond, time.Time{})
+	assert.Equal(t, runsOf(f, jobC)[full], 1, "the run is not where room was held for it")
+}
+
+// tasksNode returns the node on which a task is active.
+func (f *Fleet) tasksNode(id job.TaskID) string {
+	_, _, t := f.findTask(id)
+
+	return t.worker.node
+}
+
+// TestHeldRoomGivenUp checks that room that is held for a run is free again when the stop of the run
+// takes too long, and that the sizes in use add up afterwards.
+func TestHeldRoomGivenUp(t *testing.T) {
+	f := newColocationFleet(2)
+	f.Add(0, 0, record(jobA, fillingImage(1, "any")))
+	f.Schedule(0, time.Time{})
+
+	id := job.TaskID{Job: jobA}
+	j, s, k := f.findTask(id)
+	from := k.worker
+
+	to := f.sortedWorkers[0]
+	if to == from {
+		to = f.sortedWorkers[1]
+	}
+
+	f.moveTo(0, from, to, s, k, id, from.runs[id])
+	assert.Equal(t, to.fillingMilliCores, int64(3500))
+	assert.Equal(t, f.NextWake(0), destinationTime)
+
+	f.Schedule(destinationTime, time.Time{})
+	assert.Equal(t, to.fillingMilliCores, int64(0))
+	assert.Equal(t, j.active, 1)
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -85,6 +85,9 @@
 	Out map[string]bool
 	// RowBytes is the limit of the value of a row of progress.
 	RowBytes int
+	// Colocation enables prices of workers for filling tasks, the placement of serving tasks by what
+	// filling work they keep from running, and moves for these reasons.
+	Colocation bool
 	// LookAhead enables reservations for tasks that no worker has room for.
 	LookAhead bool
 	// Order is the order of waiting jobs within a priority.
@@ -100,6 +103,7 @@
 	sortedWorkers []*workerInfo
 	rejected      rejectedSizes
 	ahead         lookAhead
+	colocation    colocationState
 	orders        map[string]*Orders
 	// unreported has the nodes that have not reported in this term. The tasks that
 	// the previous leader started there are unknown until the node reports or, at
@@ -133,6 +137,7 @@
 	quarantines []Quarantine
 	stalls      []Stall
 	losses      []Loss
+	moves       []Move
 	unstored    []UnstoredCheckpoint
 	// slow has the speeds of the workers, or is nil if they are not used.
 	slow *slowWorkers
@@ -166,6 +171,8 @@
 		endMarks:     map[string]endMark{},
 		laterMarks:   map[string]endMark{},
 
+		colocation: colocationState{destinations: map[job.TaskID]destination{}},
+
 		fair: fairOrder{shares: backlog.NewShares()},
 		work: newWorkDone(),
 
@@ -225,6 +232,12 @@
 	f.sortOpen(now)
 	clear(f.rejected)
 	f.checkReservations(now)
+	f.updateColocation(now)
+
+	if f.Colocation && !blocked {
+		// Before other tasks take the room that runs at a low pace need.
+		f.movePaced(now)
+	}
 
 	for _, j := range f.open {
 		if j.loaded && blocked {
@@ -312,6 +325,10 @@
 		earlier(w.refusals.until)
 	}
 
+	for _, d := range f.colocation.destinations {
+		earlier(d.until)
+	}
+
 	for _, t := range f.nextRoomChange(now) {
 		earlier(t)
 	}
--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -84,6 +84,11 @@
 
 		f.moveStalled(now, w)
 
+		if f.Colocation {
+			// Paced runs are moved in the order of their jobs.
+			continue
+		}
+
 		if now >= w.movedAt+moveInterval {
 			f.moveSlowestRun(now, w)
 		}
@@ -121,7 +126,7 @@
 	)
 
 	for t, r := range w.runs {
-		if r.slowSince == 0 || now < r.stopAwaitedUntil || now < r.slowSince+maxSlowTime || (!r.step.Checkpointing && r.progressPercent > maxLostPercent) {
+		if !r.leavesFor(now) {
 			continue
 		}
 
@@ -137,6 +142,12 @@
 	f.moveRun(now, w, id, worst)
 }
 
+// leavesFor reports whether a run has been paced down for so long that it is moved if it can be.
+func (r *run) leavesFor(now time.Duration) bool {
+	return r.slowSince > 0 && now >= r.stopAwaitedUntil && now >= r.slowSince+maxSlowTime &&
+		(r.step.Checkpointing || r.progressPercent <= maxLostPercent)
+}
+
 // canRunElsewhere reports whether a worker other than here could run a task of a
 // step now.
 func (f *Fleet) canRunElsewhere(now time.Duration, j *jobInfo, s *stepInfo, here *workerInfo) bool {
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -57,7 +57,11 @@
 			continue
 		}
 
-		w := f.chooseWorker(now, j, s, t)
+		w := f.heldWorker(now, j, s, j.taskID(i, k))
+		if w == nil {
+			w = f.chooseWorker(now, j, s, t)
+		}
+
 		if w == nil {
 			if f.LookAhead {
 				f.reserve(now, j, i, k)
@@ -227,7 +231,7 @@
 		}
 	}
 
-	score := free - int64(disturbance*headroomScale)
+	score := free - int64(disturbance*headroomScale) - f.blockedScore(w, s.Image)
 
 	switch {
 	case otherImages > 0:
@@ -276,7 +280,7 @@
 		}
 	}
 
-	return free + int64(headroom*headroomScale), fits && headroom >= 0
+	return free + int64(headroom*headroomScale) - f.price(w, s.Image), fits && headroom >= 0
 }
 
 func (f *Fleet) startTask(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo, w *workerInfo, id job.TaskID) {
--- a/core/fleet/slow_workers.go
+++ b/core/fleet/slow_workers.go
@@ -30,7 +30,6 @@
 	tracker  *speed.Tracker
 	judgedAt time.Duration
 	changes  []SpeedChange
-	moves    []Move
 }
 
 // SpeedChange is a worker that counts as slow from now on, or no longer does. Its times are readings
@@ -88,24 +87,21 @@
 	return changes
 }
 
-// Moves returns the moves that were ordered since the last call, if slow workers are enabled.
+// Moves returns the moves that were ordered since the last call, if slow workers or colocation are
+// enabled.
 func (f *Fleet) Moves() []Move {
-	if f.slow == nil {
-		return nil
-	}
-
-	moves := f.slow.moves
-	f.slow.moves = nil
+	moves := f.moves
+	f.moves = nil
 
 	return moves
 }
 
 func (f *Fleet) recordMove(w *workerInfo, id job.TaskID, attempt int, reason MoveReason, gain time.Duration) {
-	if f.slow == nil {
+	if f.slow == nil && !f.Colocation {
 		return
 	}
 
-	f.slow.moves = append(f.slow.moves, Move{
+	f.moves = append(f.moves, Move{
 		Node:    w.node,
 		Task:    id,
 		Attempt: attempt,
--- a/core/interference/interference.go
+++ b/core/interference/interference.go
@@ -350,6 +350,16 @@
 	}].posterior()
 }
 
+// Evidence returns the expected factor of a pair of images, and the weight of the evidence for it.
+func (p *Pool) Evidence(filling, serving string) (factor, weight float64) {
+	e := p.pooled[Pair{
+		Filling: filling,
+		Serving: serving,
+	}]
+
+	return e.posterior(), e.Weight
+}
+
 // Which changes of an estimate matter to learners. Otherwise each learner would get all
 // pairs each time, as some evidence is always added (TestChanges).
 const (
--- a/settings/node.go
+++ b/settings/node.go
@@ -97,6 +97,9 @@
 	Preemption bool
 	// LookAhead enables reservations for tasks that no worker has room for.
 	LookAhead bool
+	// Colocation makes the leader place filling and serving tasks by which images disturb each
+	// other, and move them.
+	Colocation bool
 	// SlowWorkers makes the leader learn the speeds of workers, and use slow ones last.
 	SlowWorkers bool
 	// RackWaits makes tasks wait for the rack of their data if it has room in time.
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -48,6 +48,7 @@
 		"Admission":  {"[Bounds]", "[Scheduling]\nAdmission = true\n[Bounds]", "[Scheduling] Admission"},
 		"Preemption": {"[Bounds]", "[Scheduling]\nPreemption = yes\n[Bounds]", "[Scheduling] Preemption"},
 		"Scheduling": {"[Bounds]", "[Scheduling]\nOrder = Fair\nAdmission = true\nPreemption = true\n[Bounds]", ""},
+		"Colocation": {"[Bounds]", "[Scheduling]\nColocation = 2\n[Bounds]", "[Scheduling] Colocation"},
 		"Speeds":     {"[Bounds]", "[Scheduling]\nSlowWorkers = perhaps\n[Bounds]", "SlowWorkers"},
 		"Racks":      {"[Bounds]", "[Scheduling]\nRackWaits = 1.5\n[Bounds]", "RackWaits"},
 		"Factor":     {"[Bounds]", "[Scheduling]\nRemoteFactor = 0.5\n[Bounds]", "RemoteFactor"},
