--- a/core/config/config.go
+++ b/core/config/config.go
@@ -27,6 +27,9 @@
 	// times the length of its critical path, plus TargetLatency.
 	Stretch       float64
 	TargetLatency time.Duration
+	// Timeout is how long the route's callers wait for an answer, or 0 if the configuration
+	// doesn't say so. Jobs don't depend on it.
+	Timeout time.Duration
 }
 
 // Service is a pool of workers, which announce its name.
