--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -65,6 +65,10 @@
 	BodyRate  int64
 }
 
+// LargestBody returns a bound of the bodies for which there is memory, in bytes. A larger one is
+// refused even if it is the only one.
+func (l Limits) LargestBody() int64 { return l.Bytes * largePercent / 100 }
+
 const (
 	// newcomerBytes is how many bytes a client counts as having sent when its connection opens
 	// and when a body begins.
@@ -299,7 +303,7 @@
 
 	limit := g.limits.Bytes
 	if c.held+n > smallBytes {
-		limit = limit * largePercent / 100
+		limit = g.limits.LargestBody()
 	}
 
 	if short := g.held + n - limit; short > 0 && !g.makeRoom(now, ReasonMemory, short, c) {
--- a/io/intake/requests.go
+++ b/io/intake/requests.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	// maxHeaderBytes is the largest header that is read, in bytes. A lower limit in force
+	// MaxHeaderBytes is the largest header that is read, in bytes. A lower limit in force
 	// applies to the header's lines.
-	maxHeaderBytes = 64 << 10
+	MaxHeaderBytes = 64 << 10
 	// longestTime bounds the times for a header and between requests that may be in force.
 	longestTime = time.Hour
 	// firstBlock is the size of the first buffer of a body and maxBlock that of the largest, in
@@ -42,7 +42,7 @@
 // times for headers and between requests are the guard's.
 func (g *Guard) protect(s *http.Server) {
 	g.answersHTTP = true
-	s.MaxHeaderBytes = maxHeaderBytes
+	s.MaxHeaderBytes = MaxHeaderBytes
 	s.ReadHeaderTimeout = longestTime
 	s.IdleTimeout = longestTime
 
