--- a/internal/nodecmd/nodecmd.go
+++ b/internal/nodecmd/nodecmd.go
@@ -52,6 +52,7 @@
 	commander.Register(commander.HelpCommand(), "")
 	commander.Register(cmdEntry(), "processes")
 	commander.Register(cmdAgent(), "processes")
+	commander.Register(cmdCheckConfiguration(), "configuration")
 
 	if err := flags.Parse(args); err != nil {
 		return int(subcommands.ExitUsageError)
