Keep the saved progress of a run when a report leaves out its checkpoint

A report of progress leaves out a checkpoint that the leader has. The leader took this for a new checkpoint, and counted all progress before the report as saved. Runs with checkpoints were moved from slow workers as if they lost next to nothing.

TestSavedProgress failed before: 20% counted as saved after a report at 30%, of which 10% were.

--- a/core/fleet/run_progress_test.go
+++ b/core/fleet/run_progress_test.go
@@ -75,3 +75,28 @@
 	assert.Equal(t, f.jobs[jobA].steps[0].tasks[0].checkpoint, "saved")
 	assert.Equal(t, f.workers["n1"].runs[job.TaskID{Job: jobA}].progressPercent, 10)
 }
+
+// TestSavedProgress guards against a move from a slow worker that counts work as saved that is not,
+// because reports of progress don't repeat the checkpoint.
+func TestSavedProgress(t *testing.T) {
+	f := New(1)
+	f.EnableSlowWorkers()
+	f.Add(0, 0, record(jobA, step(1)))
+	f.Report(0, "n1", described("n1"))
+	f.Schedule(0, time.Time{})
+
+	for i, c := range []string{"", "first", "", "", "second"} {
+		f.Report(time.Duration(i)*time.Second, "n1", Report{Runs: []gate.Run{{
+			Task:            job.TaskID{Job: jobA},
+			Attempt:         1,
+			Checkpoint:      c,
+			ProgressPercent: 10 * (i + 1),
+			Confirmed:       true,
+			OrderKnown:      true,
+		}}})
+
+		// The checkpoint was made after the reading before it.
+		want := []int{0, 10, 10, 10, 40}[i]
+		assert.Equal(t, f.workers["n1"].runs[job.TaskID{Job: jobA}].saved.percent, want, "report %d", i)
+	}
+}
--- a/core/fleet/slow_workers.go
+++ b/core/fleet/slow_workers.go
@@ -181,7 +181,8 @@
 		return
 	}
 
-	if g.Checkpoint != r.saved.checkpoint {
+	// A report without a checkpoint leaves it as it was.
+	if g.Checkpoint != "" && g.Checkpoint != r.saved.checkpoint {
 		r.saved = savedProgress{
 			checkpoint: g.Checkpoint,
 			percent:    r.progressPercent,
