Store the checkpoints of running tasks

The leader kept the checkpoints of running tasks in memory and stored them with the end of a run. A task that was lost with its worker and the leader started anew.

The effect on callers is not measured yet.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -622,6 +622,7 @@
 
 	l.logSpeeds()
 	l.logServingMoves()
+	l.logCheckpointWrites()
 
 	for _, s := range l.fleet.Stalls() {
 		l.c.log.Warn("TaskStalled", zap.String("Job", s.Task.Job), zap.Stringer("Task", s.Task), zap.String("Node", s.Node))
--- a/coordinator/scheduling.go
+++ b/coordinator/scheduling.go
@@ -13,6 +13,7 @@
 	f.Preemption = s.Preemption
 	f.LookAhead = s.LookAhead
 	f.Colocation = s.Colocation
+	f.CheckpointInterval = s.CheckpointInterval
 
 	if s.SlowWorkers {
 		f.EnableSlowWorkers()
@@ -23,6 +24,17 @@
 	}
 }
 
+// logCheckpointWrites logs and counts the rows to be written for checkpoints. The caller holds l.mu.
+func (l *leader) logCheckpointWrites() {
+	w := l.fleet.CheckpointWrites()
+	if w.Rows == 0 {
+		return
+	}
+
+	l.c.meter.Add(w.Rows, "checkpoint_rows_total")
+	l.c.log.Info("CheckpointsStored", zap.Int("Rows", w.Rows), zap.Duration("Oldest", w.Oldest))
+}
+
 // logServingMoves logs and counts the serving tasks that are moved. The caller holds l.mu.
 func (l *leader) logServingMoves() {
 	for _, m := range l.fleet.ServingMoves() {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -94,6 +94,9 @@
 	Order backlog.Policy
 	// Preemption means that less urgent runs are stopped to make room for tasks of priority 0.
 	Preemption bool
+	// CheckpointInterval is the time after which a new checkpoint of a running task is stored, or 0 if
+	// checkpoints are stored only when runs end.
+	CheckpointInterval time.Duration
 
 	term    int64
 	jobs    map[string]*jobInfo
@@ -104,6 +107,7 @@
 	rejected      rejectedSizes
 	ahead         lookAhead
 	colocation    colocationState
+	checkpoints   checkpointRows
 	orders        map[string]*Orders
 	// unreported has the nodes that have not reported in this term. The tasks that
 	// the previous leader started there are unknown until the node reports or, at
@@ -249,6 +253,7 @@
 
 	f.moveRuns(now)
 	f.moveFromSlow(now)
+	f.storeCheckpoints(now)
 
 	orders := f.orders
 	f.orders = map[string]*Orders{}
@@ -306,6 +311,7 @@
 	}
 
 	earlier(f.rackWake())
+	earlier(f.nextCheckpointPass())
 
 	if !f.nextStart.IsZero() {
 		earlier(now + f.nextStart.Sub(f.wall))
--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -53,6 +53,10 @@
 			killAgent: 0.1, killEntry: 0.1, resign: 0.1, cut: 0.2, crash: 0.05, silent: 0.1, loseCall: 0.1, loseWrite: 0.1,
 			maxDelay: 50 * time.Millisecond, preemption: true,
 		},
+		"checkpoints": {
+			killAllAgents: 0.05, killAllEntries: 0.03, killAgent: 0.1, killEntry: 0.05, crash: 0.05, silent: 0.1, cut: 0.1, loseWrite: 0.1,
+			maxDelay: 50 * time.Millisecond, smallRows: true, checkpoints: true,
+		},
 		"together": {
 			killAgent: 0.15, killAllAgents: 0.02, killAllEntries: 0.02, pauseAgent: 0.15, killEntry: 0.08, pauseEntry: 0.1, resign: 0.1, cut: 0.3,
 			crash: 0.08, silent: 0.15, leave: 0.03, loseCall: 0.05, loseWrite: 0.1, pauseInside: 0.003, maxDelay: 200 * time.Millisecond,
@@ -120,6 +124,14 @@
 	assert.DeepEqual(t, a, b)
 }
 
+// TestCheckpointHistory checks that tasks of the histories with checkpoints resume from them, so that
+// TestHistories checks their rows.
+func TestCheckpointHistory(t *testing.T) {
+	w := newWorld(1, histories()["checkpoints"])
+	w.runHistory()
+	assert.Assert(t, w.resumptions > 0)
+}
+
 // TestReservedHistory checks that leaders of crowded histories make reservations, so that
 // TestHistories checks the rules with them.
 func TestReservedHistory(t *testing.T) {
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -97,6 +97,8 @@
 	// dirty has the rows of the job's progress that are to be written or removed, and stored
 	// those that are, or may be, in the store.
 	dirty, stored map[rowName]bool
+	// unsaved has the rows that lack a checkpoint of a running task, and since when.
+	unsaved map[rowName]time.Duration
 }
 
 func newJob(r job.Record, deadline time.Duration) *jobInfo {
@@ -108,6 +110,7 @@
 		paths:        r.Spec.PathsFrom(),
 		steps:        make([]stepInfo, len(r.Spec.Steps)*max(1, r.Spec.Repeat)),
 		dirty:        map[rowName]bool{},
+		unsaved:      map[rowName]time.Duration{},
 		stored:       map[rowName]bool{},
 	}
 
--- a/core/fleet/progress.go
+++ b/core/fleet/progress.go
@@ -172,6 +172,7 @@
 		b.bytes += len(value)
 
 		delete(j.dirty, n)
+		delete(j.unsaved, n)
 
 		if value != nil {
 			j.stored[n] = true
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -224,7 +224,7 @@
 	j.started = j.started || g.Confirmed
 
 	if g.Checkpoint != "" {
-		t.checkpoint = g.Checkpoint
+		f.saveCheckpoint(now, j, s, g.Task.Index, g.Checkpoint)
 	}
 
 	if t.phase == waiting {
--- a/core/fleet/world_agent_test.go
+++ b/core/fleet/world_agent_test.go
@@ -626,7 +626,7 @@
 	var runs []peer.TaskRun
 
 	for t, e := range a.gate.Runs {
-		if e.Phase != gate.Confirmed || (a.reported[t] && e.OrderKnown && !a.w.faults.crowded) {
+		if e.Phase != gate.Confirmed || (a.reported[t] && e.OrderKnown && !a.w.faults.crowded && !a.w.faults.checkpoints) {
 			continue
 		}
 
--- a/core/fleet/world_leader_test.go
+++ b/core/fleet/world_leader_test.go
@@ -178,6 +178,10 @@
 			l.fleet.Order, l.fleet.Preemption = backlog.Fair, true
 		}
 
+		if e.w.faults.checkpoints {
+			l.fleet.CheckpointInterval = time.Second
+		}
+
 		if e.w.faults.smallRows {
 			l.fleet.RowBytes = 1 << 10
 		}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"trefoildeck/core/gate"
@@ -39,6 +41,8 @@
 	store    store
 	// absences counts the writes of the row of absent agents.
 	absences int
+	// resumptions counts the starts from checkpoints.
+	resumptions int
 	// doneAt has when a task's last end was taken note of that can't be taken back, and
 	// lastStart when the task last started.
 	doneAt, lastStart map[job.TaskID]time.Duration
@@ -74,6 +78,8 @@
 	// preemption says that leaders preempt and use the order backlog.Fair, and that more work of
 	// two priorities is submitted than the workers can do at once.
 	preemption bool
+	// checkpoints says that tasks have checkpoints, and that leaders store them while tasks run.
+	checkpoints bool
 }
 
 // maxRestartDelay is the time after the listing of a success in which its task may start
@@ -425,6 +431,19 @@
 type workerRun struct {
 	attempt int
 	size    job.Size
+	// begun is when the run began, and resumed the seconds of work in the checkpoint from which it did.
+	begun   time.Duration
+	resumed int
+}
+
+// checkpoint returns the last checkpoint of a run, which it makes each second.
+func (r *workerRun) checkpoint(t job.TaskID, now time.Duration) string {
+	done := r.resumed + int((now-r.begun)/time.Second)
+	if done == 0 {
+		return ""
+	}
+
+	return fmt.Sprintf("%s@%d", t, done)
 }
 
 type workerEnd struct {
@@ -596,6 +615,8 @@
 	r = &workerRun{
 		attempt: o.Attempt,
 		size:    o.Size,
+		begun:   k.w.now,
+		resumed: k.w.checkResumption(o),
 	}
 	k.runs[o.Task] = r
 
@@ -663,10 +684,15 @@
 	}
 
 	for _, t := range sortedTasks(k.runs) {
-		l.Running = append(l.Running, gate.Run{
+		run := gate.Run{
 			Task:    t,
 			Attempt: k.runs[t].attempt,
-		})
+		}
+		if k.w.faults.checkpoints {
+			run.Checkpoint = k.runs[t].checkpoint(t, k.w.now)
+		}
+
+		l.Running = append(l.Running, run)
 	}
 
 	for _, e := range k.ends {
@@ -730,6 +756,27 @@
 	w.begun[o.Task.Job] = true
 }
 
+// checkResumption checks that a start resumes from a checkpoint of its own task, and returns the
+// seconds of work in it.
+func (w *world) checkResumption(o gate.StartOrder) int {
+	if o.Checkpoint == "" {
+		return 0
+	}
+
+	task, done, ok := strings.Cut(o.Checkpoint, "@")
+
+	seconds, err := strconv.Atoi(done)
+	if !ok || err != nil || task != o.Task.String() {
+		w.violate("%v attempt %d starts with the checkpoint %q", o.Task, o.Attempt, o.Checkpoint)
+
+		return 0
+	}
+
+	w.resumptions++
+
+	return seconds
+}
+
 // checkDone checks an end that is taken note of: the task must not have started since.
 func (w *world) checkDone(k *worker, e workerEnd) {
 	w.doneAt[e.Task] = e.at
--- a/settings/node.go
+++ b/settings/node.go
@@ -107,6 +107,9 @@
 	// RemoteFactor is how many times as long a task takes outside the rack of its data, or 0 for
 	// defaultRemoteFactor.
 	RemoteFactor float64
+	// CheckpointInterval is the time after which a new checkpoint of a running task is stored, or 0 if
+	// checkpoints are stored only when runs end.
+	CheckpointInterval time.Duration
 }
 
 // ReportsProgress reports whether an agent reports the progress of runs once a second.
@@ -115,6 +118,8 @@
 const (
 	defaultRemoteFactor = 1.5
 	maxRemoteFactor     = 100
+	// minCheckpointInterval keeps a job from having its rows written for each report of an agent.
+	minCheckpointInterval = 500 * time.Millisecond
 )
 
 // RemoteRunFactor returns how many times as long a task takes outside the rack of its data.
@@ -220,6 +225,10 @@
 	if f := s.RemoteRunFactor(); !(f >= 1 && f <= maxRemoteFactor) {
 		p.Add("RemoteFactor", fmt.Sprint(f), fmt.Sprintf("1 to %d", maxRemoteFactor))
 	}
+
+	if i := s.CheckpointInterval; i != 0 && i < minCheckpointInterval {
+		p.Add("CheckpointInterval", i.String(), fmt.Sprintf("0, or at least %s", minCheckpointInterval))
+	}
 }
 
 // CheckEntry returns an error for each setting that an entry requires and n lacks.
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -52,6 +52,7 @@
 		"Speeds":     {"[Bounds]", "[Scheduling]\nSlowWorkers = perhaps\n[Bounds]", "SlowWorkers"},
 		"Racks":      {"[Bounds]", "[Scheduling]\nRackWaits = 1.5\n[Bounds]", "RackWaits"},
 		"Factor":     {"[Bounds]", "[Scheduling]\nRemoteFactor = 0.5\n[Bounds]", "RemoteFactor"},
+		"Interval":   {"[Bounds]", "[Scheduling]\nCheckpointInterval = 100ms\n[Bounds]", "CheckpointInterval"},
 		"NoFactor":   {"[Bounds]", "[Scheduling]\nRemoteFactor = NaN\n[Bounds]", "RemoteFactor"},
 	}
 
