Take the leader's lock in the tests of reloads

TestJobsReloaded and TestEvacuationsReloaded read the leader's fleet while its goroutine writes it, and the latter a counter of reads. The fleet is now read under the leader's lock, and the counter is atomic.

--- a/coordinator/reload_test.go
+++ b/coordinator/reload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,7 +41,10 @@
 
 		time.Sleep(time.Second)
 
+		l.mu.Lock()
 		state, known := l.fleet.State(found)
+		l.mu.Unlock()
+
 		assert.Assert(t, known)
 		assert.Equal(t, state, job.Queued)
 
@@ -91,20 +95,19 @@
 func runEvacuationsReloaded(t *testing.T, dataCentre string, out bool, pages ...[]rows.Row) {
 	t.Helper()
 
-	reads := 0
+	var reads atomic.Int64
+
 	l := newTestLeader(t, emulator.NewRowStore())
 	c := l.c
 	c.localLeader = l
 	c.store = &rows.Store{
 		Range: func(context.Context, string, string, string, string) (rows.Page, error) {
-			reads++
-
-			return rows.Page{Rows: pages[reads-1]}, nil
+			return rows.Page{Rows: pages[reads.Add(1)-1]}, nil
 		},
 		Feed: func(ctx context.Context, _ string, _ int64, _ time.Duration) (rows.Page, error) {
 			time.Sleep(time.Second)
 
-			if reads == len(pages) {
+			if int(reads.Load()) == len(pages) {
 				<-ctx.Done()
 			}
 
@@ -116,7 +119,7 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 
-			if e.Message == "ConfigurationInForce" && reads == len(pages) {
+			if e.Message == "ConfigurationInForce" && int(reads.Load()) == len(pages) {
 				assert.Check(t, c.out[dataCentre] == out, "while the rows were applied")
 			}
 
@@ -126,11 +129,18 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() { assert.Check(t, c.watchOperatorTable(ctx) == nil) }()
 
+	isOut := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+
+		return l.fleet.Out[dataCentre]
+	}
+
 	time.Sleep(500 * time.Millisecond)
-	assert.Assert(t, l.fleet.Out[dataCentre])
+	assert.Assert(t, isOut())
 	time.Sleep(5 * time.Second)
-	assert.Equal(t, reads, len(pages))
-	assert.Check(t, l.fleet.Out[dataCentre] == out)
+	assert.Equal(t, int(reads.Load()), len(pages))
+	assert.Check(t, isOut() == out)
 	cancel()
 	synctest.Wait()
 }
