Ignore calls for a client whose connection is closed

Cause: a session with a peer reads its connection in a goroutine of its own. Change: a closed client has a phase of its own, in which all calls are without effect. TestAfterClose failed before for Receive, Hold, BeginBody, EndBody and Idle, and passes now.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -44,6 +44,8 @@
 	ReasonBodyTime   Reason = "BodyTime"
 	ReasonBodyRate   Reason = "BodyRate"
 	ReasonIdleTime   Reason = "IdleTime"
+	// ReasonClosed says that the connection is closed already.
+	ReasonClosed Reason = "Closed"
 )
 
 // Limits bounds what the clients of one listener hold.
@@ -121,6 +123,7 @@
 	idle
 	// ending is the time from the decision to end the client to the end of its connection.
 	ending
+	closed
 )
 
 // Client is the client of one connection.
@@ -205,13 +208,14 @@
 // endingLimit is the number of ended clients that may still read their answer.
 func (g *Gate) endingLimit() int { return max(8, g.limits.Connections/8) }
 
-// Close removes a client whose connection is closed. It may be called more than once.
+// Close removes a client whose connection is closed. It may be called more than once, and other calls
+// for the client, which have no effect, may follow: a connection can be closed while it is read.
 func (g *Gate) Close(c *Client) {
 	if c.index < 0 {
 		return
 	}
 
-	g.setPhase(c.since, c, idle)
+	g.setPhase(c.since, c, closed)
 
 	last := len(g.clients) - 1
 	g.clients[c.index] = g.clients[last]
@@ -221,7 +225,7 @@
 	c.index = -1
 }
 
-// setPhase begins a phase. What a client holds is free once it is idle or ended.
+// setPhase begins a phase. What a client holds is free once it is idle, ended or closed.
 func (g *Gate) setPhase(now time.Duration, c *Client, p phase) {
 	switch c.phase {
 	case readingBody:
@@ -245,7 +249,7 @@
 	case ending:
 		g.ending++
 		g.release(c)
-	case idle:
+	case idle, closed:
 		g.release(c)
 	default:
 	}
@@ -265,7 +269,7 @@
 	case opened:
 		// The time for the first header runs from the opening of the connection.
 		c.phase = readingHeader
-	case handling, ending:
+	case handling, ending, closed:
 		return true
 	default:
 	}
@@ -281,6 +285,8 @@
 // request must be refused, "" if it needn't.
 func (g *Gate) BeginBody(now time.Duration, c *Client) Reason {
 	switch {
+	case c.phase == closed:
+		return ReasonClosed
 	case c.phase == ending:
 		return c.reason
 	case g.bodies >= g.limits.Bodies && !g.makeRoom(now, ReasonBodies, 1, nil):
@@ -297,7 +303,7 @@
 // Hold records that the request of a client takes n more bytes of memory. It returns false if
 // they aren't there.
 func (g *Gate) Hold(now time.Duration, c *Client, n int64) bool {
-	if c.phase == ending {
+	if c.phase >= ending {
 		return false
 	}
 
@@ -330,7 +336,7 @@
 	}
 
 	more := min(factor*n, g.limits.Bytes/2) - c.held
-	if more > 0 && !g.Hold(now, c, more) || c.phase == ending {
+	if more > 0 && !g.Hold(now, c, more) || c.phase >= ending {
 		return false
 	}
 
@@ -342,7 +348,7 @@
 // Handle begins to handle a request without a body, or a session with a peer. Their time isn't
 // bounded.
 func (g *Gate) Handle(now time.Duration, c *Client) {
-	if c.phase != ending {
+	if c.phase < ending {
 		g.setPhase(now, c, handling)
 	}
 }
@@ -358,7 +364,7 @@
 
 // Idle records that the request of a client was answered.
 func (g *Gate) Idle(now time.Duration, c *Client) {
-	if c.phase != ending {
+	if c.phase < ending {
 		g.setPhase(now, c, idle)
 	}
 }
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -324,3 +324,31 @@
 	assert.Assert(t, ok)
 	assert.Assert(t, g.EndBody(0, c.Client, bodySize))
 }
+
+// TestAfterClose guards against memory that is charged to a client whose connection is closed, and that
+// nobody gives back: a session with a peer reads on while another goroutine closes its connection.
+func TestAfterClose(t *testing.T) {
+	calls := map[string]func(g *Gate, c *Client){
+		"Receive":   func(g *Gate, c *Client) { g.Receive(0, c, kB, 10) },
+		"Hold":      func(g *Gate, c *Client) { g.Hold(0, c, kB) },
+		"BeginBody": func(g *Gate, c *Client) { g.BeginBody(0, c) },
+		"EndBody":   func(g *Gate, c *Client) { g.EndBody(0, c, kB) },
+		"Handle":    func(g *Gate, c *Client) { g.Handle(0, c); g.Receive(0, c, kB, 10) },
+		"Idle":      func(g *Gate, c *Client) { g.Idle(0, c); g.Receive(0, c, kB, 10) },
+	}
+
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			g := New(testLimits())
+			c := open(g, 0, here)
+			g.Close(c.Client)
+			call(g, c.Client)
+
+			connections, held := g.Usage()
+			assert.Equal(t, connections, 0)
+			assert.Equal(t, held, int64(0))
+			assert.Equal(t, g.bodies, 0)
+			assert.Equal(t, len(g.bodiesFrom), 0)
+		})
+	}
+}
