Don't charge the rest of a refused request as a header

Cause: a request that is refused for want of places for bodies, or for its header's size, stayed in the phase of a header. The server then reads up to 256 KiB of its body to be rid of it, and each byte was charged as a header's, with 64 bytes for each line end. Change: the gate is told of the refusal (Gate.Refuse), and what follows is not charged. The header stays charged until the connection is closed, since the server keeps it, and its time goes on.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -13,6 +13,7 @@
 //	c := g.Open(now, address, kick)       // nil: refuse the connection
 //	ok := g.Receive(now, c, n, lines)     // false: refuse the request, close the connection
 //	reason := g.BeginBody(now, c)         // not "": refuse the request
+//	g.Refuse(now, c)                      // before the answer to a request that isn't run
 //	ok = g.Hold(now, c, n)                // before a buffer is allocated; false: refuse
 //	ok = g.EndBody(now, c, n)             // before the body is decoded; false: refuse
 //	g.Idle(now, c)                        // the request was answered
@@ -38,6 +39,8 @@
 	// of the client's address are.
 	ReasonBodies  Reason = "Bodies"
 	ReasonAddress Reason = "Address"
+	// ReasonHeaderBytes says that a header is larger than the limit in force.
+	ReasonHeaderBytes Reason = "HeaderBytes"
 	// ReasonHeaderTime, ReasonBodyTime and ReasonIdleTime say that a header, a body or the
 	// next request has taken too long, and ReasonBodyRate that a body comes too slowly.
 	ReasonHeaderTime Reason = "HeaderTime"
@@ -140,6 +143,8 @@
 	ratedAt time.Duration
 	// held is the memory of the client's request, in bytes.
 	held int64
+	// refused means that the request is refused by its header, and its body is discarded.
+	refused bool
 	// writing is whether a part of the answer is being written, since writingSince.
 	writing      bool
 	writingSince time.Duration
@@ -239,7 +244,7 @@
 	default:
 	}
 
-	c.phase, c.since, c.received = p, now, 0
+	c.phase, c.since, c.received, c.refused = p, now, 0, false
 
 	switch p {
 	case readingBody:
@@ -278,7 +283,19 @@
 	c.rate = min(maxRate, c.rateAt(now)+float64(n)/rateTime.Seconds())
 	c.ratedAt = now
 
-	return c.phase != readingHeader || g.Hold(now, c, int64(n)+int64(lines)*lineBytes)
+	return c.phase != readingHeader || c.refused || g.Hold(now, c, int64(n)+int64(lines)*lineBytes)
+}
+
+// Refuse records that a request whose header was read is refused with an answer. What still arrives of
+// the request is discarded, and takes no memory. The header does until the connection is closed, for
+// which its time goes on.
+func (g *Gate) Refuse(now time.Duration, c *Client) {
+	// A request that arrived together with the one before it began unnoticed.
+	if c.phase == idle {
+		g.setPhase(now, c, readingHeader)
+	}
+
+	c.refused = true
 }
 
 // BeginBody begins to read the body of a request whose header was read. It returns why the
--- a/io/intake/requests.go
+++ b/io/intake/requests.go
@@ -82,6 +82,7 @@
 		}
 
 		if limit := g.InForce().Bytes; limit > 0 && headerBytes(r) > limit {
+			g.refuse(c)
 			setRefused(w.Header(), false)
 			http.Error(w, "the header is too large", http.StatusRequestHeaderFieldsTooLarge)
 
@@ -91,6 +92,7 @@
 		if r.ContentLength == 0 {
 			g.update(c, g.gate.Handle)
 		} else if reason := g.beginBody(c); reason != "" {
+			g.refuse(c)
 			g.record("Refused", reason, c.RemoteAddr())
 			Refuse(w, ErrBusy)
 
@@ -101,6 +103,10 @@
 	})
 }
 
+// refuse records that a request is refused, before the answer: the server reads the rest of the
+// request to be rid of it.
+func (g *Guard) refuse(c *Conn) { g.update(c, g.gate.Refuse) }
+
 func connOf(r *http.Request) *Conn {
 	c, ok := r.Context().Value(contextKey{}).(*Conn)
 	if !ok {
--- a/io/intake/requests_test.go
+++ b/io/intake/requests_test.go
@@ -247,3 +247,53 @@
 		assert.Equal(t, len(s.ran), 1)
 	})
 }
+
+// TestRefusedBody guards against memory that is charged for the rest of a request that was refused, which
+// the server reads to be rid of it: a crowd that sends on would keep other clients from the memory.
+func TestRefusedBody(t *testing.T) {
+	tests := map[string]struct {
+		header string
+		change func(*core.Limits)
+		status int
+	}{
+		"NoBodies": {"", func(l *core.Limits) { l.Bodies = 0 }, http.StatusServiceUnavailable},
+		"Header":   {"Name: " + strings.Repeat("x", 20_000) + "\r\n", nil, http.StatusRequestHeaderFieldsTooLarge},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const (
+					pieces = 20
+					piece  = 10_000
+				)
+
+				l := testLimits()
+				if c.change != nil {
+					c.change(&l)
+				}
+
+				s := newServer(t, l, func() Header { return Header{Bytes: 16_384} }, 0)
+				conn := s.dial()
+				send(conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n", c.header, pieces*piece+1))
+
+				status, _ := answer(conn)
+				assert.Equal(t, status, c.status)
+
+				for range pieces {
+					_, _ = io.WriteString(conn, strings.Repeat("x\n", piece/2))
+				}
+
+				synctest.Wait()
+				s.guard.mu.Lock()
+				_, held := s.guard.gate.Usage()
+				s.guard.mu.Unlock()
+				assert.Assert(t, held <= 30_000, "%d bytes are held", held)
+				assert.Assert(t, held >= int64(len(c.header)), "%d bytes are held, and the header is still there", held)
+
+				time.Sleep(time.Minute)
+				assertEmpty(t, s.guard)
+			})
+		})
+	}
+}
