Count and log headers above the limit in force

Cause: OPERATIONS.md says that a 431 is counted and logged as ClientRefused, but one for a header above max_header_bytes was not. Change: it is recorded with the reason HeaderBytes, and at most once a second in the log as all reasons are. TestRefusedBody/Header failed before for want of the counter, and passes now.

--- a/io/intake/requests.go
+++ b/io/intake/requests.go
@@ -83,6 +83,7 @@
 
 		if limit := g.InForce().Bytes; limit > 0 && headerBytes(r) > limit {
 			g.refuse(c)
+			g.record("Refused", core.ReasonHeaderBytes, c.RemoteAddr())
 			setRefused(w.Header(), false)
 			http.Error(w, "the header is too large", http.StatusRequestHeaderFieldsTooLarge)
 
--- a/io/intake/requests_test.go
+++ b/io/intake/requests_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -248,8 +249,9 @@
 	})
 }
 
-// TestRefusedBody guards against memory that is charged for the rest of a request that was refused, which
-// the server reads to be rid of it: a crowd that sends on would keep other clients from the memory.
+// TestRefusedBody guards against a refusal that is not counted, and against memory that is charged for the
+// rest of a request that was refused, which the server reads to be rid of it: a crowd that sends on would
+// keep other clients from the memory.
 func TestRefusedBody(t *testing.T) {
 	tests := map[string]struct {
 		header string
@@ -291,6 +293,11 @@
 				assert.Assert(t, held <= 30_000, "%d bytes are held", held)
 				assert.Assert(t, held >= int64(len(c.header)), "%d bytes are held, and the header is still there", held)
 
+				var metrics bytes.Buffer
+
+				s.guard.Meter.Set.WritePrometheus(&metrics)
+				assert.Assert(t, strings.Contains(metrics.String(), `what="Refused"`), metrics.String())
+
 				time.Sleep(time.Minute)
 				assertEmpty(t, s.guard)
 			})
