Keep and make no room for a task that waits for the rack of its data

Cause: to the pass, a task that waits for a rack (RackWaits) looked like one that no worker has room for. With LookAhead it got a reservation, and with Preemption less urgent runs were stopped for it, also outside the rack, although it could start elsewhere at once. Change: chooseWorker tells the two cases apart, and nothing is kept or made for a task that waits. TestAwaitRackOnly failed before with one stop of a filling task, and passes now.

--- a/core/fleet/data_racks_test.go
+++ b/core/fleet/data_racks_test.go
@@ -88,6 +88,36 @@
 	assert.Equal(t, len(starts(f.Schedule(now, time.Time{}))["n1"]), 1)
 }
 
+// TestAwaitRackOnly guards against room that is kept or made for a task that waits for the rack of its
+// data: it has room elsewhere, and other tasks would be held back or stopped for nothing.
+func TestAwaitRackOnly(t *testing.T) {
+	f := newRackFleet(true)
+	f.LookAhead, f.Preemption = true, true
+
+	r := described("n3")
+	r.Labels = []string{"large"}
+	f.Report(0, "n3", r)
+
+	// It takes all memory of n3.
+	fills := step(1)
+	fills.Fills, fills.Requires, fills.Size.MemoryMB = true, "large", 10_000
+	other := record(jobC, fills)
+	other.Priority = 2
+	f.Add(0, 0, other)
+	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))["n3"]), 1)
+
+	s := sized(1, 2, time.Second)
+	s.DataRack = rackLabel
+
+	now := 600 * time.Millisecond
+	f.Add(now, 0, record(jobB, s))
+
+	orders := f.Schedule(now, time.Time{})
+	assert.Equal(t, len(starts(orders)), 0, "it waits for the rack")
+	assert.Equal(t, stops(orders), 0)
+	assert.Equal(t, len(f.Reservations()), 0)
+}
+
 // rackDay replays 60% of all plain jobs wanting one rack for 5.5 s, which has 8 of 52 workers, each with
 // serving tasks of a size. It returns the times that the jobs for the rack and the others took in all.
 func rackDay(t *testing.T, seed uint64, serving int64, enabled bool) (wanted, others time.Duration) {
--- a/core/fleet/gang.go
+++ b/core/fleet/gang.go
@@ -39,7 +39,7 @@
 	for k := range s.tasks {
 		t := &s.tasks[k]
 
-		w := f.chooseWorker(now, j, s, t)
+		w, _ := f.chooseWorker(now, j, s, t)
 		if w == nil {
 			break
 		}
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -59,7 +59,12 @@
 
 		w := f.heldWorker(now, j, s, j.taskID(i, k))
 		if w == nil {
-			w = f.chooseWorker(now, j, s, t)
+			var waits bool
+
+			if w, waits = f.chooseWorker(now, j, s, t); waits {
+				// It has room elsewhere, so none is kept or made for it.
+				return
+			}
 		}
 
 		if w == nil {
@@ -78,28 +83,29 @@
 }
 
 // chooseWorker returns the feasible worker with the highest score for a task, or
-// nil. Ties go to the first node name.
-func (f *Fleet) chooseWorker(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo) *workerInfo {
+// nil. Ties go to the first node name. waits means that the task has room, but waits for the rack of
+// its data.
+func (f *Fleet) chooseWorker(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo) (w *workerInfo, waits bool) {
 	c := constraintsOf(j, s.spec)
 	if f.ahead.plan.Len() > 0 {
 		f.reachStep(j, s, &c)
 	}
 
 	if f.rejected.covers(c, s.spec.Size) {
-		return nil
+		return nil, false
 	}
 
 	best := f.bestWorker(now, j, s, t)
 
 	if f.awaitsRack(now, j, s, best) {
-		return nil
+		return nil, true
 	}
 
 	if best == nil && s.spec.AntiAffinity == 0 && !s.spec.Gang {
 		f.rejected.add(c, s.spec.Size)
 	}
 
-	return best
+	return best, false
 }
 
 // bestWorker returns the feasible worker with the highest score for a task, or nil.
