Bound the estimates from which ends of runs are expected

Cause: reservations and waits for a rack added a job's estimate to the time as it was sent. With an estimate of more than 200 years the sum overflowed, and the run was expected to end within a tenth of the time for which it had run. Change: estimates count up to job.MaxRunTime there, as elsewhere. TestLargestEstimate failed before, and passes now.

--- a/core/fleet/data_racks.go
+++ b/core/fleet/data_racks.go
@@ -73,7 +73,7 @@
 
 	wait := locality.Wait{
 		Need:   int64(s.waiting) * s.spec.Size.MilliCores,
-		Run:    s.spec.Estimate,
+		Run:    s.spec.RunTime(),
 		Factor: f.racks.remoteFactor,
 		Since:  s.rackSince,
 	}
@@ -127,5 +127,5 @@
 		}
 	}
 
-	return s.Estimate
+	return s.RunTime()
 }
--- a/core/fleet/reservations.go
+++ b/core/fleet/reservations.go
@@ -332,5 +332,5 @@
 		c.reservation = uint8(f.ahead.plan.Reach(reservationKey(j, s)))
 	}
 
-	c.runTime = uint8(bits.Len64(uint64(max(0, s.spec.Estimate.Milliseconds()))))
+	c.runTime = uint8(bits.Len64(uint64(s.spec.RunTime().Milliseconds())))
 }
--- a/core/fleet/reserved_room.go
+++ b/core/fleet/reserved_room.go
@@ -115,8 +115,8 @@
 		c.IdleMilliCores -= unusedMilliCores(s.spec.Size.MilliCores)
 	}
 
-	if !s.spec.LongRunning && s.spec.Estimate > 0 {
-		c.End = now + s.spec.Estimate
+	if t := s.spec.RunTime(); t > 0 && !s.spec.LongRunning {
+		c.End = now + t
 	}
 
 	return c
--- a/core/fleet/run_progress.go
+++ b/core/fleet/run_progress.go
@@ -46,5 +46,5 @@
 		return 0
 	}
 
-	return lookahead.ExpectedEnd(now, r.started, r.progress.first, r.progress.last, r.step.Estimate)
+	return lookahead.ExpectedEnd(now, r.started, r.progress.first, r.progress.last, r.step.RunTime())
 }
--- a/core/fleet/run_progress_test.go
+++ b/core/fleet/run_progress_test.go
@@ -1,11 +1,13 @@
 package fleet
 
 import (
+	"math"
 	"testing"
 	"time"
 
 	"trefoildeck/core/gate"
 	"trefoildeck/core/job"
+	"trefoildeck/core/locality"
 	"trefoildeck/core/lookahead"
 
 	"gotest.tools/v3/assert"
@@ -53,6 +55,26 @@
 	assert.Equal(t, (&run{step: &lasting}).expectedEnd(time.Hour), time.Duration(0))
 }
 
+// TestLargestEstimate guards against a run that is expected to end at once because its estimate is so long
+// that the end overflows: room would be kept, or a rack awaited, for an end that doesn't come.
+func TestLargestEstimate(t *testing.T) {
+	const now = time.Hour
+
+	s := sized(1, 1, math.MaxInt64)
+	r := run{
+		step:    &s,
+		started: now - time.Second,
+	}
+	assert.Assert(t, r.expectedEnd(now) > now+24*time.Hour)
+
+	f := New(1)
+	f.Add(0, 0, record(jobA, s))
+	assert.Assert(t, locality.ExpectedEnd(now, r.started, f.expectedDuration(job.TaskID{Job: jobA}, &s, nil)) > now+24*time.Hour)
+
+	j := f.jobs[jobA]
+	assert.Assert(t, claimOf(now, j, &j.steps[0]).End > now+24*time.Hour)
+}
+
 // TestCheckpointKept guards against a task that starts anew after a move because reports of progress
 // don't repeat its checkpoint.
 func TestCheckpointKept(t *testing.T) {
