Don't move a run for room that is reserved for another task

Cause: moves away from slow workers looked for a worker with room without regard to reservations. With LookAhead the run was stopped, and its task could not start on the reserved worker. Change: moveSlow asks mayUse, as other moves do. TestSlowMoveReserved failed before with a stop, and passes now.

--- a/core/fleet/slow_workers.go
+++ b/core/fleet/slow_workers.go
@@ -349,7 +349,8 @@
 	}
 
 	for _, o := range f.sortedWorkers {
-		if o == w || o.speed.avoided || now < o.speed.heldUntil || o.remoteFor(s.spec) != w.remoteFor(s.spec) || !f.feasible(now, j, s, o) {
+		if o == w || o.speed.avoided || now < o.speed.heldUntil || o.remoteFor(s.spec) != w.remoteFor(s.spec) ||
+			!f.feasible(now, j, s, o) || !f.mayUse(now, j, s, o) {
 			continue
 		}
 
--- a/core/fleet/slow_workers_test.go
+++ b/core/fleet/slow_workers_test.go
@@ -192,6 +192,36 @@
 	assert.Equal(t, stops(f.Schedule(later+stopRepeatDelay, time.Time{})), 0)
 }
 
+// TestSlowMoveReserved guards against stopping a run for room that is reserved for another task, where the
+// stopped task could not start.
+func TestSlowMoveReserved(t *testing.T) {
+	for name, reserved := range map[string]bool{"Free": false, "Reserved": true} {
+		t.Run(name, func(t *testing.T) {
+			f, now := newSlowFleet(t)
+			f.LookAhead = true
+
+			// The only other worker has one core to spare.
+			for _, n := range []string{"n3", "n4", "n5"} {
+				f.workers[n].ready = false
+			}
+
+			f.Add(now, 0, record(jobC, sized(3, 1, 500*time.Millisecond)))
+
+			if reserved {
+				large := record(jobD, sized(1, 4, time.Second))
+				large.Stretch = 100
+				f.Add(now, 0, large)
+			}
+
+			orders := f.Schedule(now, time.Time{})
+			assert.Assert(t, f.workers["n1"].speed.slow)
+			assert.Equal(t, len(starts(orders)["n2"]), 3)
+			assert.Equal(t, f.workers["n2"].reserved.held, reserved)
+			assert.Equal(t, stops(orders) > 0, !reserved)
+		})
+	}
+}
+
 // TestSlowForgotten checks that nothing is held against a worker whose session ended: the ends of its
 // runs are reported late then.
 func TestSlowForgotten(t *testing.T) {
