Record the end of a client for its header once

Cause: a client whose own header was the one that made room for it was recorded as closed, and then as refused. Change: refuseHeader returns if the client was ended. TestEndedOnce failed before with both counters at 1, and passes now.

--- a/io/intake/requests.go
+++ b/io/intake/requests.go
@@ -290,6 +290,15 @@
 
 // refuseHeader answers a request for whose header there is no memory.
 func (g *Guard) refuseHeader(c *Conn) {
+	g.mu.Lock()
+	reason := c.client.Reason()
+	g.mu.Unlock()
+
+	// The client itself may have been ended to make room, which is recorded already.
+	if reason != "" {
+		return
+	}
+
 	g.record("Refused", core.ReasonMemory, c.RemoteAddr())
 
 	if g.answersHTTP {
--- a/io/intake/requests_test.go
+++ b/io/intake/requests_test.go
@@ -304,3 +304,27 @@
 		})
 	}
 }
+
+// TestEndedOnce guards against a client that is counted and logged twice, as closed and as refused, because
+// its own header was the one that made room.
+func TestEndedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := testLimits()
+		l.Bytes = 15_000
+		s := newServer(t, l, nil, 0)
+		conn := s.dial()
+
+		send(conn, "POST / HTTP/1.1\r\nName: "+strings.Repeat("x", 14_000))
+		time.Sleep(time.Second)
+		send(conn, strings.Repeat("x", 2000))
+
+		status, _ := answer(conn)
+		assert.Equal(t, status, 0)
+
+		var metrics bytes.Buffer
+
+		s.guard.Meter.Set.WritePrometheus(&metrics)
+		assert.Assert(t, strings.Contains(metrics.String(), `what="Closed",reason="Memory"} 1`), metrics.String())
+		assert.Assert(t, !strings.Contains(metrics.String(), `what="Refused"`), metrics.String())
+	})
+}
