Make TestListen independent of the machine's speed

The test waited for 50 ms for a request to arrive, and its connection counts as stalled after 350 ms, so that on a slow machine the second connection could displace it. The first request is now one that is being handled, which no other connection displaces.

--- a/io/intake/listener_test.go
+++ b/io/intake/listener_test.go
@@ -9,7 +9,6 @@
 	"syscall"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"trefoildeck/internal/metering"
 
@@ -67,15 +66,26 @@
 	inner, err := g.listen(t.Context(), "127.0.0.1:0", limitReceiveBuffer)
 	assert.NilError(t, err)
 
+	// A request that is being handled keeps its connection, however slow the machine is.
+	handling, release := make(chan struct{}), make(chan struct{})
 	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if _, err := ReadBody(w, r, bodyLimit); err != nil {
+		body, err := ReadBody(w, r, bodyLimit)
+		if err != nil {
 			Refuse(w, err)
+
+			return
+		}
+
+		if len(body) == 1 {
+			close(handling)
+			<-release
 		}
 	})}
 	g.protect(s)
 
 	go func() { _ = s.Serve(inner) }()
 	defer func() { _ = s.Close() }()
+	defer close(release)
 
 	first, err := net.Dial("tcp", inner.Addr().String())
 	assert.NilError(t, err)
@@ -87,8 +97,8 @@
 	status, _ := answer(first)
 	assert.Equal(t, status, http.StatusOK)
 
-	send(first, post(2, "x"))
-	time.Sleep(50 * time.Millisecond)
+	send(first, post(1, "x"))
+	<-handling
 
 	second, err := net.Dial("tcp", inner.Addr().String())
 	assert.NilError(t, err)
