Don't wait for a rack whose workers are in quarantine

Cause: the expected ends in a rack included those on workers in quarantine, which start nothing. Change: such workers don't count. TestAwaitRack/RackQuarantined failed before, and passes now.

--- a/core/fleet/data_racks.go
+++ b/core/fleet/data_racks.go
@@ -63,7 +63,7 @@
 
 	r := f.racks.racks[key]
 	if r == nil {
-		r = locality.NewRack(f.rackEnds(now, key))
+		r = locality.NewRack(f.rackEnds(now, key, s.spec))
 		f.racks.racks[key] = r
 	}
 
@@ -89,12 +89,12 @@
 	return true
 }
 
-// rackEnds returns the expected ends of the runs in a rack, as far as other tasks may use the room.
-func (f *Fleet) rackEnds(now time.Duration, key rackKey) []locality.End {
+// rackEnds returns the expected ends of the runs in a rack, as far as tasks of a step may use the room.
+func (f *Fleet) rackEnds(now time.Duration, key rackKey, s *job.Step) []locality.End {
 	var ends []locality.End
 
 	for _, w := range f.sortedWorkers {
-		if !f.usableRack(now, key, w) {
+		if !f.usableRack(now, key, w) || w.quarantined(now, s) {
 			continue
 		}
 
--- a/core/fleet/data_racks_test.go
+++ b/core/fleet/data_racks_test.go
@@ -42,11 +42,14 @@
 		// at is when the task is submitted, and startsAt when it starts outside the rack.
 		at, startsAt time.Duration
 	}{
-		"Enabled":    {true, nil, 1, 600 * time.Millisecond, 1100 * time.Millisecond},
-		"Disabled":   {false, nil, 1, 600 * time.Millisecond, 600 * time.Millisecond},
-		"TooEarly":   {true, nil, 1, 400 * time.Millisecond, 400 * time.Millisecond},
-		"TooMany":    {true, nil, 5, 600 * time.Millisecond, 600 * time.Millisecond},
-		"RackOut":    {true, func(f *Fleet) { f.Out["dc-n1"] = true }, 1, 600 * time.Millisecond, 600 * time.Millisecond},
+		"Enabled":  {true, nil, 1, 600 * time.Millisecond, 1100 * time.Millisecond},
+		"Disabled": {false, nil, 1, 600 * time.Millisecond, 600 * time.Millisecond},
+		"TooEarly": {true, nil, 1, 400 * time.Millisecond, 400 * time.Millisecond},
+		"TooMany":  {true, nil, 5, 600 * time.Millisecond, 600 * time.Millisecond},
+		"RackOut":  {true, func(f *Fleet) { f.Out["dc-n1"] = true }, 1, 600 * time.Millisecond, 600 * time.Millisecond},
+		"RackQuarantined": {true, func(f *Fleet) {
+			f.workers["n1"].health.quarantine, f.workers["n1"].quarantinedUntil = time.Second, time.Minute
+		}, 1, 600 * time.Millisecond, 600 * time.Millisecond},
 		"RackSilent": {true, func(f *Fleet) { f.Disconnected("n1") }, 1, 600 * time.Millisecond, 600 * time.Millisecond},
 	}
 
