--- a/core/intake/end.go
+++ b/core/intake/end.go
@@ -172,7 +172,7 @@
 	answer := c.phase == readingBody && g.ending < g.endingLimit()
 	c.reason = r
 	g.setPhase(now, c, ending)
-	c.kick(r, answer)
+	c.terminate(r, answer)
 }
 
 // Sweep ends the clients whose time is over or that send too slowly.
@@ -180,7 +180,7 @@
 	for _, c := range g.clients {
 		if c.phase == ending {
 			if now-c.since > endingTime {
-				c.kick(c.reason, false)
+				c.terminate(c.reason, false)
 			}
 
 			continue
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -10,7 +10,7 @@
 //
 // The owner of the connections reports what happens on them:
 //
-//	c := g.Open(now, address, kick)       // nil: refuse the connection
+//	c := g.Open(now, address, terminate)  // nil: refuse the connection
 //	ok := g.Receive(now, c, n, lines)     // false: refuse the request, close the connection
 //	reason := g.BeginBody(now, c)         // not "": refuse the request
 //	g.Refuse(now, c)                      // before the answer to a request that isn't run
@@ -131,10 +131,10 @@
 
 // Client is the client of one connection.
 type Client struct {
-	kick    func(r Reason, answer bool)
-	address netip.Addr
-	index   int
-	phase   phase
+	terminate func(r Reason, answer bool)
+	address   netip.Addr
+	index     int
+	phase     phase
 	// since is when the phase began, and received has the bytes received in it.
 	since    time.Duration
 	received int64
@@ -185,10 +185,10 @@
 func (g *Gate) Usage() (connections int, bytes int64) { return len(g.clients), g.held }
 
 // Open adds the client of a new connection, or returns nil if it must be refused. The gate calls
-// kick, which must not call the gate, at most twice to end the client: if answer is true, the
-// request whose body is being read is to be refused with an answer, otherwise the connection is
-// to be closed at once.
-func (g *Gate) Open(now time.Duration, a netip.Addr, kick func(r Reason, answer bool)) *Client {
+// terminate, which must not call the gate, to end the client: if answer is true, the request whose
+// body is being read is to be refused with an answer, otherwise the connection is to be closed at
+// once. Calls are repeated until the owner calls Close.
+func (g *Gate) Open(now time.Duration, a netip.Addr, terminate func(r Reason, answer bool)) *Client {
 	if len(g.clients)-g.ending >= g.limits.Connections && !g.makeRoom(now, ReasonConnections, 1, nil) {
 		return nil
 	}
@@ -198,12 +198,12 @@
 	}
 
 	c := &Client{
-		kick:    kick,
-		address: a,
-		index:   len(g.clients),
-		since:   now,
-		rate:    maxRate,
-		ratedAt: now,
+		terminate: terminate,
+		address:   a,
+		index:     len(g.clients),
+		since:     now,
+		rate:      maxRate,
+		ratedAt:   now,
 	}
 	g.clients = append(g.clients, c)
 
--- a/io/intake/conn.go
+++ b/io/intake/conn.go
@@ -24,8 +24,8 @@
 	closed bool
 }
 
-// kick ends the client. The gate calls it while the guard is locked.
-func (c *Conn) kick(r core.Reason, answer bool) {
+// terminate ends the client. The gate calls it while the guard is locked.
+func (c *Conn) terminate(r core.Reason, answer bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
--- a/io/intake/guard.go
+++ b/io/intake/guard.go
@@ -100,7 +100,7 @@
 	}
 
 	g.mu.Lock()
-	c.client = g.gate.Open(g.now(), addressOf(conn), c.kick)
+	c.client = g.gate.Open(g.now(), addressOf(conn), c.terminate)
 	g.startSweeping()
 	g.mu.Unlock()
 
