End a batch of an address's stalled bodies, and rest after a search without success

Cause: above the limit on bodies of one address, each further body searched all clients, and at most one was ended. client-limits.md says that a search ends a thirty-second part of what is bounded, and rests for 20 ms after it found none; for an address neither was so. Change: both hold for addresses. The rest applies to the address of the last search. TestAddressSearch failed before, and passes now.

--- a/core/intake/end.go
+++ b/core/intake/end.go
@@ -155,14 +155,23 @@
 	}
 }
 
-// makeRoomAt ends the body of an address that makes the least progress, if one makes little.
+// makeRoomAt ends a batch of the bodies of an address that make the least progress. It returns false if
+// none makes little.
 func (g *Gate) makeRoomAt(now time.Duration, a netip.Addr) bool {
+	if a == g.scannedAddress && now < g.scanAfter[ReasonAddress] {
+		return false
+	}
+
 	list := g.stalledClients(now, func(c *Client) bool { return c.phase == readingBody && c.address == a })
 	if len(list) == 0 {
+		g.scannedAddress, g.scanAfter[ReasonAddress] = a, now+scanPause
+
 		return false
 	}
 
-	g.end(now, list[0].client, ReasonAddress)
+	for _, s := range list[:min(len(list), max(1, g.limits.BodiesPerAddress/batchPart))] {
+		g.end(now, s.client, ReasonAddress)
+	}
 
 	return true
 }
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -163,8 +163,10 @@
 	// bodiesFrom has the bodies that are read by client address.
 	bodiesFrom map[netip.Addr]int
 	ending     int
-	// scanAfter is when a client that may lose its place is looked for again, by what is short.
-	scanAfter map[Reason]time.Duration
+	// scanAfter is when a client that may lose its place is looked for again, by what is short. For
+	// ReasonAddress, it applies to the address of the last search.
+	scanAfter      map[Reason]time.Duration
+	scannedAddress netip.Addr
 }
 
 // New returns a gate without clients.
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -276,6 +276,40 @@
 	assert.Assert(t, ok)
 }
 
+// TestAddressSearch guards against a search through all clients for each body above the limit of an address:
+// a search ends a batch of clients, and one without success is not repeated for the same address at once.
+func TestAddressSearch(t *testing.T) {
+	l := testLimits()
+	l.BodiesPerAddress = 3 * batchPart
+	g := New(l)
+
+	var all []*client
+
+	for range l.BodiesPerAddress {
+		c, ok := begin(g, 0, here, 0)
+		assert.Assert(t, ok)
+
+		all = append(all, c)
+	}
+
+	const beforeStall = provenTime - 10*time.Millisecond
+
+	c := open(g, 0, here)
+	assert.Equal(t, g.BeginBody(beforeStall, c.Client), ReasonAddress)
+	assert.Equal(t, g.BeginBody(beforeStall+scanPause-1, c.Client), ReasonAddress)
+	assert.Equal(t, g.BeginBody(beforeStall+scanPause, c.Client), Reason(""))
+
+	ended := 0
+
+	for _, c := range all {
+		if c.ended {
+			ended++
+		}
+	}
+
+	assert.Equal(t, ended, 3)
+}
+
 // TestEndedTwice checks that a client that doesn't read its refusal is closed, and that only some
 // are answered at a time.
 func TestEndedTwice(t *testing.T) {
