Test refusals of pipelined requests, and in random histories

TestRefusedBody/Pipelined fails if Gate.Refuse does not begin the header of a request that arrived together with the one before it, and TestHistories also refuses requests.

--- a/core/intake/histories_test.go
+++ b/core/intake/histories_test.go
@@ -37,7 +37,7 @@
 
 // step does one random thing to a gate.
 func step(r *rapid.T, g *Gate, now time.Duration) {
-	kind := rapid.IntRange(0, 10).Draw(r, "kind")
+	kind := rapid.IntRange(0, 11).Draw(r, "kind")
 	if kind == 0 || len(g.clients) == 0 {
 		open(g, now, []netip.Addr{here, there}[rapid.IntRange(0, 1).Draw(r, "address")])
 
@@ -64,6 +64,8 @@
 		g.Idle(now, c)
 	case 9:
 		g.Close(c)
+	case 10:
+		g.Refuse(now, c)
 	default:
 		g.Sweep(now)
 	}
--- a/io/intake/requests_test.go
+++ b/io/intake/requests_test.go
@@ -253,13 +253,17 @@
 // rest of a request that was refused, which the server reads to be rid of it: a crowd that sends on would
 // keep other clients from the memory.
 func TestRefusedBody(t *testing.T) {
+	noBodies := func(l *core.Limits) { l.Bodies = 0 }
+
 	tests := map[string]struct {
-		header string
-		change func(*core.Limits)
-		status int
+		// before is a request that arrives together with the one that is refused.
+		before, header string
+		change         func(*core.Limits)
+		status         int
 	}{
-		"NoBodies": {"", func(l *core.Limits) { l.Bodies = 0 }, http.StatusServiceUnavailable},
-		"Header":   {"Name: " + strings.Repeat("x", 20_000) + "\r\n", nil, http.StatusRequestHeaderFieldsTooLarge},
+		"NoBodies":  {"", "", noBodies, http.StatusServiceUnavailable},
+		"Pipelined": {post(0, ""), "", noBodies, http.StatusServiceUnavailable},
+		"Header":    {"", "Name: " + strings.Repeat("x", 20_000) + "\r\n", nil, http.StatusRequestHeaderFieldsTooLarge},
 	}
 
 	for name, c := range tests {
@@ -277,7 +281,12 @@
 
 				s := newServer(t, l, func() Header { return Header{Bytes: 16_384} }, 0)
 				conn := s.dial()
-				send(conn, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n", c.header, pieces*piece+1))
+				send(conn, c.before+fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n", c.header, pieces*piece+1))
+
+				if c.before != "" {
+					status, _ := answer(conn)
+					assert.Equal(t, status, http.StatusOK)
+				}
 
 				status, _ := answer(conn)
 				assert.Equal(t, status, c.status)
