Don't count runs that aren't moved as held back by a reservation

Cause: each look for a worker that takes a run, in each pass, was counted in HeldBack and named in FirstHeldBack of a reservation, which say how often a waiting task was not placed because of it. Change: moves ask WouldAllow, which doesn't count.

--- a/core/fleet/colocation.go
+++ b/core/fleet/colocation.go
@@ -314,7 +314,7 @@
 	least := maxNewlyBlocked
 
 	for _, w := range f.sortedWorkers {
-		if w == here || w.speed.avoided || !f.feasible(now, j, s, w) || !f.mayUse(now, j, s, w) {
+		if w == here || w.speed.avoided || !f.feasible(now, j, s, w) || !f.couldUse(now, j, s, w) {
 			continue
 		}
 
--- a/core/fleet/move.go
+++ b/core/fleet/move.go
@@ -152,7 +152,7 @@
 // step now.
 func (f *Fleet) canRunElsewhere(now time.Duration, j *jobInfo, s *stepInfo, here *workerInfo) bool {
 	for _, w := range f.sortedWorkers {
-		if w == here || w.speed.avoided || !f.feasible(now, j, s, w) || !f.mayUse(now, j, s, w) {
+		if w == here || w.speed.avoided || !f.feasible(now, j, s, w) || !f.couldUse(now, j, s, w) {
 			continue
 		}
 
--- a/core/fleet/move_paced.go
+++ b/core/fleet/move_paced.go
@@ -91,7 +91,7 @@
 	)
 
 	for _, w := range f.sortedWorkers {
-		if w == here || w.speed.avoided || !f.feasible(now, j, s, w) || !f.mayUse(now, j, s, w) {
+		if w == here || w.speed.avoided || !f.feasible(now, j, s, w) || !f.couldUse(now, j, s, w) {
 			continue
 		}
 
--- a/core/fleet/reservations.go
+++ b/core/fleet/reservations.go
@@ -306,6 +306,16 @@
 	return f.ahead.plan.Allows(w.node, f.roomAtReservation(now, w), claimOf(now, j, s))
 }
 
+// couldUse reports what mayUse does, for a run that would have to be stopped first. It isn't counted as
+// held back.
+func (f *Fleet) couldUse(now time.Duration, j *jobInfo, s *stepInfo, w *workerInfo) bool {
+	if !w.reserved.held {
+		return true
+	}
+
+	return f.ahead.plan.WouldAllow(w.node, f.roomAtReservation(now, w), claimOf(now, j, s))
+}
+
 // settle ends the reservation of a step of which a task is about to start on a worker, and the
 // worker's own if the task delays it.
 func (f *Fleet) settle(now time.Duration, j *jobInfo, s *stepInfo, w *workerInfo) {
--- a/core/fleet/slow_workers.go
+++ b/core/fleet/slow_workers.go
@@ -371,7 +371,7 @@
 			continue
 		}
 
-		if !f.mayUse(now, j, s, o) {
+		if !f.couldUse(now, j, s, o) {
 			reserved = true
 
 			continue
--- a/core/fleet/slow_workers_test.go
+++ b/core/fleet/slow_workers_test.go
@@ -220,6 +220,11 @@
 			assert.Equal(t, len(starts(orders)["n2"]), 3)
 			assert.Equal(t, f.workers["n2"].reserved.held, reserved)
 			assert.Equal(t, stops(orders) > 0, !reserved)
+
+			if reserved {
+				r, _ := f.ahead.plan.On("n2")
+				assert.Equal(t, r.HeldBack, 0, "a run that isn't moved is counted as a task that isn't placed")
+			}
 		})
 	}
 }
--- a/core/lookahead/plan.go
+++ b/core/lookahead/plan.go
@@ -181,17 +181,13 @@
 // Allows reports whether a claim may use a worker that has the given room for the task of
 // its reservation at the time of that, as RoomAt returns it. A claim of the reservation's own
 // step, a more urgent one, and one that the pass came to before the reservation's task may always.
+// A claim that may not is counted as held back.
 func (p *Plan) Allows(node string, room job.Size, c Claim) bool {
-	i := p.onNode(node)
-	if i < 0 {
-		return true
-	}
-
-	r := &p.list[i]
-	if r.Step == c.Step || r.outrankedBy(c) || r.admits(room, c) {
+	if p.WouldAllow(node, room, c) {
 		return true
 	}
 
+	r := &p.list[p.onNode(node)]
 	if r.HeldBack == 0 {
 		r.FirstHeldBack = c.Step.Job
 	}
@@ -201,6 +197,18 @@
 	return false
 }
 
+// WouldAllow reports what Allows does, for a claim that is not about to start: it is not counted.
+func (p *Plan) WouldAllow(node string, room job.Size, c Claim) bool {
+	i := p.onNode(node)
+	if i < 0 {
+		return true
+	}
+
+	r := &p.list[i]
+
+	return r.Step == c.Step || r.outrankedBy(c) || r.admits(room, c)
+}
+
 // outrankedBy reports whether a claim needn't respect the reservation.
 func (r *Reservation) outrankedBy(c Claim) bool {
 	return c.Priority < r.Priority || (c.Priority == r.Priority && !r.reached)
