Make no room on a worker that is reserved for another task

Cause: with LookAhead and Preemption, less urgent runs were stopped on a reserved worker for a task behind the reservation. The worker was then kept clear for that task, so that the reservation ended as WorkerUnavailable, and the task behind took its place. Change: roomOn leaves out workers that the task may not use. TestNoRoomMadeOnReserved failed before with a stop, and passes now.

--- a/core/fleet/preempt.go
+++ b/core/fleet/preempt.go
@@ -220,7 +220,7 @@
 // roomOn returns how to make room for a task on a worker, or nil if that is not possible. Runs that
 // are being stopped make room by themselves.
 func (f *Fleet) roomOn(now time.Duration, j *jobInfo, s *stepInfo, w *workerInfo) *room {
-	if len(w.runs) == 0 || w.service != j.record.Service || w.clearing.active(now) {
+	if len(w.runs) == 0 || w.service != j.record.Service || w.clearing.active(now) || !f.couldUse(now, j, s, w) {
 		return nil
 	}
 
--- a/core/fleet/reservations_test.go
+++ b/core/fleet/reservations_test.go
@@ -123,6 +123,46 @@
 	}
 }
 
+// TestNoRoomMadeOnReserved guards against stopping less urgent runs on a reserved worker for a task behind the
+// reservation: the task would take the room that is kept, and the reservation would end.
+func TestNoRoomMadeOnReserved(t *testing.T) {
+	for name, reserved := range map[string]bool{"Free": false, "Reserved": true} {
+		t.Run(name, func(t *testing.T) {
+			f := New(1)
+			f.LookAhead, f.Preemption = true, true
+			f.Report(0, "n1", described("n1"))
+
+			fills := step(1)
+			fills.Fills, fills.Size.MemoryMB = true, 8000
+			other := record(jobD, fills)
+			other.Priority = 2
+
+			f.Add(0, 0, other)
+			f.Add(0, 0, record(jobA, sized(3, 1, time.Second)))
+			assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))["n1"]), 4)
+
+			if reserved {
+				f.Add(0, 0, record(jobB, sized(1, 4, time.Second)))
+			}
+
+			late := sized(1, 1, time.Minute)
+			late.Size.MemoryMB = 5000
+			behind := record(jobC, late)
+			behind.Stretch = 100
+			f.Add(0, 0, behind)
+
+			now := 10 * time.Millisecond
+			assert.Equal(t, stops(f.Schedule(now, time.Time{})) > 0, !reserved)
+
+			f.Schedule(2*now, time.Time{})
+
+			r, ok := f.ahead.plan.On("n1")
+			assert.Assert(t, ok)
+			assert.Equal(t, r.Step.Job == jobB, reserved)
+		})
+	}
+}
+
 // TestReservedInStream guards against a stream of small tasks that keeps a large one waiting for
 // ever: each takes the room that the one before it leaves.
 func TestReservedInStream(t *testing.T) {
