--- a/core/fleet/data_racks.go
+++ b/core/fleet/data_racks.go
@@ -63,7 +63,7 @@
 
 	r := f.racks.racks[key]
 	if r == nil {
-		r = locality.NewRack(f.rackEnds(now, key))
+		r = locality.NewRack(f.rackEnds(now, key, s.spec))
 		f.racks.racks[key] = r
 	}
 
@@ -73,7 +73,7 @@
 
 	wait := locality.Wait{
 		Need:   int64(s.waiting) * s.spec.Size.MilliCores,
-		Run:    s.spec.Estimate,
+		Run:    s.spec.RunTime(),
 		Factor: f.racks.remoteFactor,
 		Since:  s.rackSince,
 	}
@@ -89,12 +89,12 @@
 	return true
 }
 
-// rackEnds returns the expected ends of the runs in a rack, as far as other tasks may use the room.
-func (f *Fleet) rackEnds(now time.Duration, key rackKey) []locality.End {
+// rackEnds returns the expected ends of the runs in a rack, as far as tasks of a step may use the room.
+func (f *Fleet) rackEnds(now time.Duration, key rackKey, s *job.Step) []locality.End {
 	var ends []locality.End
 
 	for _, w := range f.sortedWorkers {
-		if !f.usableRack(now, key, w) {
+		if !f.usableRack(now, key, w) || w.quarantined(now, s) {
 			continue
 		}
 
@@ -127,5 +127,5 @@
 		}
 	}
 
-	return s.Estimate
+	return s.RunTime()
 }
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -10,9 +10,10 @@
 //
 // The owner of the connections reports what happens on them:
 //
-//	c := g.Open(now, address, kick)       // nil: refuse the connection
+//	c := g.Open(now, address, terminate)  // nil: refuse the connection
 //	ok := g.Receive(now, c, n, lines)     // false: refuse the request, close the connection
 //	reason := g.BeginBody(now, c)         // not "": refuse the request
+//	g.Refuse(now, c)                      // before the answer to a request that isn't run
 //	ok = g.Hold(now, c, n)                // before a buffer is allocated; false: refuse
 //	ok = g.EndBody(now, c, n)             // before the body is decoded; false: refuse
 //	g.Idle(now, c)                        // the request was answered
@@ -38,12 +39,16 @@
 	// of the client's address are.
 	ReasonBodies  Reason = "Bodies"
 	ReasonAddress Reason = "Address"
+	// ReasonHeaderBytes says that a header is larger than the limit in force.
+	ReasonHeaderBytes Reason = "HeaderBytes"
 	// ReasonHeaderTime, ReasonBodyTime and ReasonIdleTime say that a header, a body or the
 	// next request has taken too long, and ReasonBodyRate that a body comes too slowly.
 	ReasonHeaderTime Reason = "HeaderTime"
 	ReasonBodyTime   Reason = "BodyTime"
 	ReasonBodyRate   Reason = "BodyRate"
 	ReasonIdleTime   Reason = "IdleTime"
+	// ReasonClosed says that the connection is closed already.
+	ReasonClosed Reason = "Closed"
 )
 
 // Limits bounds what the clients of one listener hold.
@@ -121,14 +126,15 @@
 	idle
 	// ending is the time from the decision to end the client to the end of its connection.
 	ending
+	closed
 )
 
 // Client is the client of one connection.
 type Client struct {
-	kick    func(r Reason, answer bool)
-	address netip.Addr
-	index   int
-	phase   phase
+	terminate func(r Reason, answer bool)
+	address   netip.Addr
+	index     int
+	phase     phase
 	// since is when the phase began, and received has the bytes received in it.
 	since    time.Duration
 	received int64
@@ -137,6 +143,8 @@
 	ratedAt time.Duration
 	// held is the memory of the client's request, in bytes.
 	held int64
+	// refused means that the request is refused by its header, and its body is discarded.
+	refused bool
 	// writing is whether a part of the answer is being written, since writingSince.
 	writing      bool
 	writingSince time.Duration
@@ -155,8 +163,10 @@
 	// bodiesFrom has the bodies that are read by client address.
 	bodiesFrom map[netip.Addr]int
 	ending     int
-	// scanAfter is when a client that may lose its place is looked for again, by what is short.
-	scanAfter map[Reason]time.Duration
+	// scanAfter is when a client that may lose its place is looked for again, by what is short. For
+	// ReasonAddress, it applies to the address of the last search.
+	scanAfter      map[Reason]time.Duration
+	scannedAddress netip.Addr
 }
 
 // New returns a gate without clients.
@@ -177,10 +187,10 @@
 func (g *Gate) Usage() (connections int, bytes int64) { return len(g.clients), g.held }
 
 // Open adds the client of a new connection, or returns nil if it must be refused. The gate calls
-// kick, which must not call the gate, at most twice to end the client: if answer is true, the
-// request whose body is being read is to be refused with an answer, otherwise the connection is
-// to be closed at once.
-func (g *Gate) Open(now time.Duration, a netip.Addr, kick func(r Reason, answer bool)) *Client {
+// terminate, which must not call the gate, to end the client: if answer is true, the request whose
+// body is being read is to be refused with an answer, otherwise the connection is to be closed at
+// once. Calls are repeated until the owner calls Close.
+func (g *Gate) Open(now time.Duration, a netip.Addr, terminate func(r Reason, answer bool)) *Client {
 	if len(g.clients)-g.ending >= g.limits.Connections && !g.makeRoom(now, ReasonConnections, 1, nil) {
 		return nil
 	}
@@ -190,12 +200,12 @@
 	}
 
 	c := &Client{
-		kick:    kick,
-		address: a,
-		index:   len(g.clients),
-		since:   now,
-		rate:    maxRate,
-		ratedAt: now,
+		terminate: terminate,
+		address:   a,
+		index:     len(g.clients),
+		since:     now,
+		rate:      maxRate,
+		ratedAt:   now,
 	}
 	g.clients = append(g.clients, c)
 
@@ -205,13 +215,14 @@
 // endingLimit is the number of ended clients that may still read their answer.
 func (g *Gate) endingLimit() int { return max(8, g.limits.Connections/8) }
 
-// Close removes a client whose connection is closed. It may be called more than once.
+// Close removes a client whose connection is closed. It may be called more than once, and other calls
+// for the client, which have no effect, may follow: a connection can be closed while it is read.
 func (g *Gate) Close(c *Client) {
 	if c.index < 0 {
 		return
 	}
 
-	g.setPhase(c.since, c, idle)
+	g.setPhase(c.since, c, closed)
 
 	last := len(g.clients) - 1
 	g.clients[c.index] = g.clients[last]
@@ -221,7 +232,7 @@
 	c.index = -1
 }
 
-// setPhase begins a phase. What a client holds is free once it is idle or ended.
+// setPhase begins a phase. What a client holds is free once it is idle, ended or closed.
 func (g *Gate) setPhase(now time.Duration, c *Client, p phase) {
 	switch c.phase {
 	case readingBody:
@@ -235,7 +246,7 @@
 	default:
 	}
 
-	c.phase, c.since, c.received = p, now, 0
+	c.phase, c.since, c.received, c.refused = p, now, 0, false
 
 	switch p {
 	case readingBody:
@@ -245,7 +256,7 @@
 	case ending:
 		g.ending++
 		g.release(c)
-	case idle:
+	case idle, closed:
 		g.release(c)
 	default:
 	}
@@ -265,7 +276,7 @@
 	case opened:
 		// The time for the first header runs from the opening of the connection.
 		c.phase = readingHeader
-	case handling, ending:
+	case handling, ending, closed:
 		return true
 	default:
 	}
@@ -274,13 +285,27 @@
 	c.rate = min(maxRate, c.rateAt(now)+float64(n)/rateTime.Seconds())
 	c.ratedAt = now
 
-	return c.phase != readingHeader || g.Hold(now, c, int64(n)+int64(lines)*lineBytes)
+	return c.phase != readingHeader || c.refused || g.Hold(now, c, int64(n)+int64(lines)*lineBytes)
+}
+
+// Refuse records that a request whose header was read is refused with an answer. What still arrives of
+// the request is discarded, and takes no memory. The header does until the connection is closed, for
+// which its time goes on.
+func (g *Gate) Refuse(now time.Duration, c *Client) {
+	// A request that arrived together with the one before it began unnoticed.
+	if c.phase == idle {
+		g.setPhase(now, c, readingHeader)
+	}
+
+	c.refused = true
 }
 
 // BeginBody begins to read the body of a request whose header was read. It returns why the
 // request must be refused, "" if it needn't.
 func (g *Gate) BeginBody(now time.Duration, c *Client) Reason {
 	switch {
+	case c.phase == closed:
+		return ReasonClosed
 	case c.phase == ending:
 		return c.reason
 	case g.bodies >= g.limits.Bodies && !g.makeRoom(now, ReasonBodies, 1, nil):
@@ -297,7 +322,7 @@
 // Hold records that the request of a client takes n more bytes of memory. It returns false if
 // they aren't there.
 func (g *Gate) Hold(now time.Duration, c *Client, n int64) bool {
-	if c.phase == ending {
+	if c.phase >= ending {
 		return false
 	}
 
@@ -330,7 +355,7 @@
 	}
 
 	more := min(factor*n, g.limits.Bytes/2) - c.held
-	if more > 0 && !g.Hold(now, c, more) || c.phase == ending {
+	if more > 0 && !g.Hold(now, c, more) || c.phase >= ending {
 		return false
 	}
 
@@ -342,7 +367,7 @@
 // Handle begins to handle a request without a body, or a session with a peer. Their time isn't
 // bounded.
 func (g *Gate) Handle(now time.Duration, c *Client) {
-	if c.phase != ending {
+	if c.phase < ending {
 		g.setPhase(now, c, handling)
 	}
 }
@@ -358,7 +383,7 @@
 
 // Idle records that the request of a client was answered.
 func (g *Gate) Idle(now time.Duration, c *Client) {
-	if c.phase != ending {
+	if c.phase < ending {
 		g.setPhase(now, c, idle)
 	}
 }
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -276,6 +276,40 @@
 	assert.Assert(t, ok)
 }
 
+// TestAddressSearch guards against a search through all clients for each body above the limit of an address:
+// a search ends a batch of clients, and one without success is not repeated for the same address at once.
+func TestAddressSearch(t *testing.T) {
+	l := testLimits()
+	l.BodiesPerAddress = 3 * batchPart
+	g := New(l)
+
+	var all []*client
+
+	for range l.BodiesPerAddress {
+		c, ok := begin(g, 0, here, 0)
+		assert.Assert(t, ok)
+
+		all = append(all, c)
+	}
+
+	const beforeStall = provenTime - 10*time.Millisecond
+
+	c := open(g, 0, here)
+	assert.Equal(t, g.BeginBody(beforeStall, c.Client), ReasonAddress)
+	assert.Equal(t, g.BeginBody(beforeStall+scanPause-1, c.Client), ReasonAddress)
+	assert.Equal(t, g.BeginBody(beforeStall+scanPause, c.Client), Reason(""))
+
+	ended := 0
+
+	for _, c := range all {
+		if c.ended {
+			ended++
+		}
+	}
+
+	assert.Equal(t, ended, 3)
+}
+
 // TestEndedTwice checks that a client that doesn't read its refusal is closed, and that only some
 // are answered at a time.
 func TestEndedTwice(t *testing.T) {
@@ -324,3 +358,31 @@
 	assert.Assert(t, ok)
 	assert.Assert(t, g.EndBody(0, c.Client, bodySize))
 }
+
+// TestAfterClose guards against memory that is charged to a client whose connection is closed, and that
+// nobody gives back: a session with a peer reads on while another goroutine closes its connection.
+func TestAfterClose(t *testing.T) {
+	calls := map[string]func(g *Gate, c *Client){
+		"Receive":   func(g *Gate, c *Client) { g.Receive(0, c, kB, 10) },
+		"Hold":      func(g *Gate, c *Client) { g.Hold(0, c, kB) },
+		"BeginBody": func(g *Gate, c *Client) { g.BeginBody(0, c) },
+		"EndBody":   func(g *Gate, c *Client) { g.EndBody(0, c, kB) },
+		"Handle":    func(g *Gate, c *Client) { g.Handle(0, c); g.Receive(0, c, kB, 10) },
+		"Idle":      func(g *Gate, c *Client) { g.Idle(0, c); g.Receive(0, c, kB, 10) },
+	}
+
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			g := New(testLimits())
+			c := open(g, 0, here)
+			g.Close(c.Client)
+			call(g, c.Client)
+
+			connections, held := g.Usage()
+			assert.Equal(t, connections, 0)
+			assert.Equal(t, held, int64(0))
+			assert.Equal(t, g.bodies, 0)
+			assert.Equal(t, len(g.bodiesFrom), 0)
+		})
+	}
+}
--- a/io/intake/requests.go
+++ b/io/intake/requests.go
@@ -82,6 +82,8 @@
 		}
 
 		if limit := g.InForce().Bytes; limit > 0 && headerBytes(r) > limit {
+			g.refuse(c)
+			g.record("Refused", core.ReasonHeaderBytes, c.RemoteAddr())
 			setRefused(w.Header(), false)
 			http.Error(w, "the header is too large", http.StatusRequestHeaderFieldsTooLarge)
 
@@ -91,6 +93,7 @@
 		if r.ContentLength == 0 {
 			g.update(c, g.gate.Handle)
 		} else if reason := g.beginBody(c); reason != "" {
+			g.refuse(c)
 			g.record("Refused", reason, c.RemoteAddr())
 			Refuse(w, ErrBusy)
 
@@ -101,6 +104,10 @@
 	})
 }
 
+// refuse records that a request is refused, before the answer: the server reads the rest of the
+// request to be rid of it.
+func (g *Guard) refuse(c *Conn) { g.update(c, g.gate.Refuse) }
+
 func connOf(r *http.Request) *Conn {
 	c, ok := r.Context().Value(contextKey{}).(*Conn)
 	if !ok {
@@ -283,6 +290,15 @@
 
 // refuseHeader answers a request for whose header there is no memory.
 func (g *Guard) refuseHeader(c *Conn) {
+	g.mu.Lock()
+	reason := c.client.Reason()
+	g.mu.Unlock()
+
+	// The client itself may have been ended to make room, which is recorded already.
+	if reason != "" {
+		return
+	}
+
 	g.record("Refused", core.ReasonMemory, c.RemoteAddr())
 
 	if g.answersHTTP {
--- a/io/intake/requests_test.go
+++ b/io/intake/requests_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -247,3 +248,92 @@
 		assert.Equal(t, len(s.ran), 1)
 	})
 }
+
+// TestRefusedBody guards against a refusal that is not counted, and against memory that is charged for the
+// rest of a request that was refused, which the server reads to be rid of it: a crowd that sends on would
+// keep other clients from the memory.
+func TestRefusedBody(t *testing.T) {
+	noBodies := func(l *core.Limits) { l.Bodies = 0 }
+
+	tests := map[string]struct {
+		// before is a request that arrives together with the one that is refused.
+		before, header string
+		change         func(*core.Limits)
+		status         int
+	}{
+		"NoBodies":  {"", "", noBodies, http.StatusServiceUnavailable},
+		"Pipelined": {post(0, ""), "", noBodies, http.StatusServiceUnavailable},
+		"Header":    {"", "Name: " + strings.Repeat("x", 20_000) + "\r\n", nil, http.StatusRequestHeaderFieldsTooLarge},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const (
+					pieces = 20
+					piece  = 10_000
+				)
+
+				l := testLimits()
+				if c.change != nil {
+					c.change(&l)
+				}
+
+				s := newServer(t, l, func() Header { return Header{Bytes: 16_384} }, 0)
+				conn := s.dial()
+				send(conn, c.before+fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n", c.header, pieces*piece+1))
+
+				if c.before != "" {
+					status, _ := answer(conn)
+					assert.Equal(t, status, http.StatusOK)
+				}
+
+				status, _ := answer(conn)
+				assert.Equal(t, status, c.status)
+
+				for range pieces {
+					_, _ = io.WriteString(conn, strings.Repeat("x\n", piece/2))
+				}
+
+				synctest.Wait()
+				s.guard.mu.Lock()
+				_, held := s.guard.gate.Usage()
+				s.guard.mu.Unlock()
+				assert.Assert(t, held <= 30_000, "%d bytes are held", held)
+				assert.Assert(t, held >= int64(len(c.header)), "%d bytes are held, and the header is still there", held)
+
+				var metrics bytes.Buffer
+
+				s.guard.Meter.Set.WritePrometheus(&metrics)
+				assert.Assert(t, strings.Contains(metrics.String(), `what="Refused"`), metrics.String())
+
+				time.Sleep(time.Minute)
+				assertEmpty(t, s.guard)
+			})
+		})
+	}
+}
+
+// TestEndedOnce guards against a client that is counted and logged twice, as closed and as refused, because
+// its own header was the one that made room.
+func TestEndedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := testLimits()
+		l.Bytes = 15_000
+		s := newServer(t, l, nil, 0)
+		conn := s.dial()
+
+		send(conn, "POST / HTTP/1.1\r\nName: "+strings.Repeat("x", 14_000))
+		time.Sleep(time.Second)
+		send(conn, strings.Repeat("x", 2000))
+
+		status, _ := answer(conn)
+		assert.Equal(t, status, 0)
+
+		var metrics bytes.Buffer
+
+		s.guard.Meter.Set.WritePrometheus(&metrics)
+		assert.Assert(t, strings.Contains(metrics.String(), `what="Closed",reason="Memory"} 1`), metrics.String())
+		assert.Assert(t, !strings.Contains(metrics.String(), `what="Refused"`), metrics.String())
+	})
+}
