Never store a job over a refusal newer than its request

An overloaded entry that found the refusal of the request's repetition in the row tried to write its own refusal. If that write failed, it stored the job in place of the row it had found, although the caller had been told that the job never runs (rule 4 of order-and-admission.md). A row newer than the request now has to be confirmed in that case too; if that fails, the answer is 504.

The new case OwnRefusalFails of TestRefusalInterleavings got 200 before the change.

--- a/coordinator/refusals.go
+++ b/coordinator/refusals.go
@@ -62,6 +62,7 @@
 // A refusal in the row is replaced if it is known to be older than the request. Another one may
 // be the answer to a repetition of this request, which must stay true.
 func (c *Coordinator) storeJob(ctx context.Context, s submission) (repeated bool, err error) {
+	// later means that the row has a refusal that must stay true.
 	refusal, version, later := s.refusal, int64(0), false
 
 	for range maxRowWrites {
@@ -93,7 +94,7 @@
 			return false, err
 		case !isRefusal(row.Value):
 			return true, nil
-		case refusal == nil && row.Version > s.known:
+		case row.Version > s.known:
 			refusal, later = cmp.Or(s.refusal, &platform.Refusal{
 				Reason:     overtaken,
 				RetryAfter: overtakenRetryAfter,
--- a/coordinator/refusals_test.go
+++ b/coordinator/refusals_test.go
@@ -290,6 +290,22 @@
 			assertRefused(t, first.submit(t.Context()), overloaded)
 			second.storeVersion.Store(0)
 
+			calls := 0
+			s.Refuse = func() bool {
+				calls++
+
+				return calls == 2
+			}
+			assert.ErrorIs(t, second.submit(t.Context()), platform.ErrUnknown)
+		}, true},
+		// A request of an overloaded entry finds the refusal of its repetition, and its own fails. The
+		// job must not be accepted instead.
+		"OwnRefusalFails": {func(t *testing.T, s *emulator.RowStore, first, second testEntry) {
+			first.overload(true)
+			second.overload(true)
+			assertRefused(t, first.submit(t.Context()), overloaded)
+			second.storeVersion.Store(0)
+
 			calls := 0
 			s.Refuse = func() bool {
 				calls++
