Give the turns of old jobs to the next one while the oldest finds no room

Only the service of the single oldest job counted for the eighth that goes to the job that has waited longest, and in a pass the work of all jobs ordered by age. A job that no worker has room for therefore either took the turns of all others (large work), or left the eighth unused for ever, so that each pass began in the order of acceptance (small work). Now a job that was offered the turn in the last pass and received nothing doesn't count, and the service of each job that came in the order of age does.

--- a/core/backlog/order.go
+++ b/core/backlog/order.go
@@ -112,6 +112,8 @@
 	all, aged float64
 	byAge     []int
 	nextByAge int
+	// turns is that of the priority that is being ordered.
+	turns *turns
 }
 
 // reset prepares the ordering of jobs.
@@ -163,11 +165,10 @@
 
 	t := o.service.turnsOf(keys[0].priority)
 	o.all, o.aged = t.all.at(o.now), t.aged.at(o.now)
-	t.oldest = ""
+	o.turns = t
 
-	if len(o.byAge) > 0 {
-		t.oldest = o.jobs[o.byAge[0]].ID
-	}
+	t.offered, t.before = t.before, t.offered
+	clear(t.offered)
 }
 
 // addClass adds the jobs of one class of a priority, which are sorted by their latest start.
@@ -231,7 +232,7 @@
 func (o *ordering) take(i int) {
 	work := float64(o.jobs[i].Work)
 
-	if i == o.oldest() {
+	if i == o.oldest() && o.turns.offer(o.jobs[i].ID) {
 		o.aged += work
 	}
 
--- a/core/backlog/order_test.go
+++ b/core/backlog/order_test.go
@@ -224,6 +224,36 @@
 	}
 }
 
+// TestOldestWithoutRoom replays the overload of TestNothingStarves with jobs that have waited longest and
+// find no room at all. Large ones took the turns of all other jobs that had waited long. Small ones never
+// used theirs up, so that jobs were served in the order of their acceptance, and too late.
+func TestOldestWithoutRoom(t *testing.T) {
+	for name, each := range map[string]time.Duration{
+		"Large": filling.each,
+		"Small": time.Millisecond,
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newReplay(int64(2 * float64(filling.work()) / 1000))
+
+			stuck := filling
+			stuck.milliCores, stuck.each = 10*p.free, each
+
+			for range 3 {
+				p.submit(stuck, "a").accepted = -time.Hour
+			}
+
+			var a arrivals
+
+			p.run(3*time.Minute, func() { a.submit(p, 4, filling, "a") })
+
+			_, over := p.count(0, p.now, "", func(r *replayed) bool { return r.over })
+			_, old := p.count(0, p.now, "", func(r *replayed) bool { return r.over && !r.useful() })
+			assert.Assert(t, old >= over/10, "%d of %d jobs that ended had waited longest", old, over)
+			assert.Assert(t, old <= over/5, "%d of %d jobs that ended had waited longest", old, over)
+		})
+	}
+}
+
 // TestInaccurateEstimates replays a burst of filling jobs on workers that are asked for a tenth more
 // than they can do, with run times that differ by up to 90% from their estimates. Jobs of which half
 // was done were set aside when, by their estimates, they could no longer end in time.
--- a/core/backlog/shares.go
+++ b/core/backlog/shares.go
@@ -12,6 +12,9 @@
 	// agedTurns is the reciprocal of the share of the service that goes to the job that has
 	// waited longest.
 	agedTurns = 8
+	// maxOffered is the number of jobs of a priority that may get the turns of the job that has waited
+	// longest while no worker has room for those before them.
+	maxOffered = 256
 	// maxIdleAccounts is the number of accounts above which those whose service has decayed are
 	// forgotten.
 	maxIdleAccounts = 256
@@ -30,8 +33,22 @@
 type turns struct {
 	// all is the service of all jobs, and aged that of jobs that had waited longest.
 	all, aged decaying
-	// oldest is the job that had waited longest when Order was last called.
-	oldest string
+	// offered has the jobs that had waited longest of those that Order had not yet ordered in its last
+	// call, and whether they have received service since. before is that of the call before.
+	offered, before map[string]bool
+}
+
+// offer records that a job has waited longest of those that are not yet ordered. It returns false if the
+// job was in the same place before and received no service: no worker has room for it, and the turn is
+// also that of the next one.
+func (t *turns) offer(id string) bool {
+	if len(t.offered) < maxOffered {
+		t.offered[id] = false
+	}
+
+	served, before := t.before[id]
+
+	return served || !before
 }
 
 // NewShares returns shares without any service.
@@ -60,7 +77,8 @@
 	t := s.turnsOf(j.Priority)
 	t.all.add(now, w)
 
-	if j.ID == t.oldest {
+	if _, ok := t.offered[j.ID]; ok {
+		t.offered[j.ID] = true
 		t.aged.add(now, w)
 	}
 }
@@ -77,7 +95,10 @@
 func (s *Shares) turnsOf(priority int) *turns {
 	t := s.turns[priority]
 	if t == nil {
-		t = &turns{}
+		t = &turns{
+			offered: map[string]bool{},
+			before:  map[string]bool{},
+		}
 		s.turns[priority] = t
 	}
 
