Keep accounts with equal work when a load is shortened

Shorten dropped all accounts with as much work as the first one to be dropped. With many accounts of the same work none was left, and entries refused nothing for a service that was overloaded.

--- a/core/backlog/load.go
+++ b/core/backlog/load.go
@@ -189,8 +189,21 @@
 
 	slices.SortFunc(totals, func(a, b int64) int { return cmp.Compare(b, a) })
 
+	// Of the accounts with as much work as the first one that is dropped, some are left.
+	limit := totals[n]
+	equal := slices.IndexFunc(totals, func(t int64) bool { return t == limit })
+	left := n - equal
+
 	for i := range l.Priorities {
 		p := &l.Priorities[i]
-		p.Accounts = slices.DeleteFunc(p.Accounts, func(a AccountLoad) bool { return a.total() <= totals[n] })
+		p.Accounts = slices.DeleteFunc(p.Accounts, func(a AccountLoad) bool {
+			if a.total() == limit && left > 0 {
+				left--
+
+				return false
+			}
+
+			return a.total() <= limit
+		})
 	}
 }
--- a/core/backlog/load_test.go
+++ b/core/backlog/load_test.go
@@ -1,6 +1,7 @@
 package backlog
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -336,6 +337,22 @@
 	assert.Equal(t, l.Priorities[1].Accounts[0].Account, "d")
 }
 
+// TestShortenEqualAccounts guards against a load without any account, by which nothing is refused, when
+// many accounts have the same work.
+func TestShortenEqualAccounts(t *testing.T) {
+	l := &Load{}
+	for i := range 100 {
+		l.Priority(i%2).AddWaiting(0, Job{Account: fmt.Sprintf("%03d", i)}, 100)
+	}
+
+	l.Priority(1).AddWaiting(0, Job{Account: "099"}, 100)
+	l.Shorten(10)
+	assert.Equal(t, len(l.Priorities[0].Accounts)+len(l.Priorities[1].Accounts), 10)
+
+	last := l.Priorities[1].Accounts[len(l.Priorities[1].Accounts)-1]
+	assert.Equal(t, last.Account, "099")
+}
+
 // TestChanged checks which changes are worth a message.
 func TestChanged(t *testing.T) {
 	load := func(work int64) *Load {
