Update the rates of work in one pass over services and priorities

Each rate of a service's priority went through the work done by all services, so that an update, each 250 ms with the leader's lock held, took time in the square of their number. The keys are now sorted, and the work of a service is added up along its priorities.

--- a/core/fleet/backlog.go
+++ b/core/fleet/backlog.go
@@ -139,20 +139,26 @@
 		}
 	}
 
-	for k, r := range f.work.rates {
-		l := loads[k.service]
-		if l == nil {
-			continue
+	keys := slices.SortedFunc(maps.Keys(f.work.rates), func(a, b rateKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.priority, b.priority))
+	})
+
+	// done is the work of the priorities of a service up to that of the key.
+	var done int64
+
+	for i, k := range keys {
+		if i > 0 && keys[i-1].service != k.service {
+			done = 0
 		}
 
-		var done int64
+		done = backlog.Sum(done, f.work.done[k])
 
-		for o, n := range f.work.done {
-			if o.service == k.service && o.priority <= k.priority {
-				done = backlog.Sum(done, n)
-			}
+		l := loads[k.service]
+		if l == nil {
+			continue
 		}
 
+		r := f.work.rates[k]
 		r.Update(now, done, waits[k] && l.MilliCores > 0)
 		l.Priority(k.priority).Rate = r.MilliCores(now)
 	}
--- a/core/fleet/backlog_test.go
+++ b/core/fleet/backlog_test.go
@@ -149,3 +149,51 @@
 	rate := onlyLoad(t, f, now).Priorities[0].Rate
 	assert.Assert(t, rate >= 3500 && rate <= 4500, "%d", rate)
 }
+
+// ratesOfServices updates the rates of a number of services with 4 priorities for 8 s, and returns the
+// loads and the time of the fastest update.
+func ratesOfServices(services int) (map[string]*backlog.Load, time.Duration) {
+	const period = 250 * time.Millisecond
+
+	f := fairFleet()
+	loads, waits := map[string]*backlog.Load{}, map[rateKey]bool{}
+	fastest := time.Hour
+
+	for now := time.Duration(0); now < 8*time.Second; now += period {
+		for i := range services {
+			name := fmt.Sprint(i)
+			loads[name] = &backlog.Load{MilliCores: 1}
+
+			for p := range 4 {
+				k := rateKey{
+					service:  name,
+					priority: p,
+				}
+				waits[k], f.work.done[k] = true, int64(100*i+p)*period.Milliseconds()
+			}
+		}
+
+		began := time.Now()
+		f.updateRates(now, loads, waits)
+		fastest = min(fastest, time.Since(began))
+	}
+
+	return loads, fastest
+}
+
+// TestRatesOfManyServices checks that the rate of a priority counts the work of this and more urgent
+// priorities of its service and no other, and guards against a cost that grows with the square of the
+// number of services: 1,000 of them took more than a quarter of a second, which is the time between two
+// updates.
+func TestRatesOfManyServices(t *testing.T) {
+	_, few := ratesOfServices(50)
+	loads, many := ratesOfServices(800)
+
+	for i := range 800 {
+		rate, want := loads[fmt.Sprint(i)].Priority(2).Rate, int64(300*i+3)
+		assert.Assert(t, rate >= want-1 && rate <= want+1, "service %d: %d, not %d", i, rate, want)
+	}
+
+	// 16 times as many services take 16 times as long, and took 256 times as long.
+	assert.Assert(t, many < 64*few, "50 services take %s, 800 take %s", few, many)
+}
