Move no serving task while a leader awaits reports

A new leader that awaits the report of a node starts no task of the jobs that it loaded, for up to 6.4 s, but it stopped serving tasks of such jobs to move them. They were out of service until the wait was over. Paced runs were not moved during the wait already.

TestNoServingMoveWhileStartsWait: the task was stopped during the wait before the change.

--- a/core/fleet/colocation.go
+++ b/core/fleet/colocation.go
@@ -70,8 +70,9 @@
 	return moves
 }
 
-// updateColocation updates the planner, then moves serving tasks.
-func (f *Fleet) updateColocation(now time.Duration) {
+// updateColocation updates the planner, then moves serving tasks unless blocked is set: tasks of loaded
+// jobs that are stopped then can't start again yet.
+func (f *Fleet) updateColocation(now time.Duration, blocked bool) {
 	f.expireDestinations(now)
 
 	c := &f.colocation
@@ -105,7 +106,10 @@
 	}
 
 	c.planner.Update(now, list, workers, f.effect)
-	f.moveServing(now)
+
+	if !blocked {
+		f.moveServing(now)
+	}
 }
 
 // waitingDemands returns the filling work that waits for a worker, by image.
--- a/core/fleet/colocation_test.go
+++ b/core/fleet/colocation_test.go
@@ -211,6 +211,50 @@
 	}
 }
 
+// movableServing returns a fleet with a serving task on n2 that keeps filling work from running, and
+// belongs on n1, beside others of its image. All have served for 6 s.
+func movableServing(t *testing.T) *Fleet {
+	t.Helper()
+
+	f := newColocationFleet(2)
+	place := func(id string, s job.Step, on string) {
+		for _, w := range f.sortedWorkers {
+			w.ready = w.node == on
+		}
+
+		f.Add(0, 0, record(id, s))
+		f.Schedule(0, time.Time{})
+		assert.Equal(t, runsOf(f, id)[on], s.Count)
+	}
+
+	place(jobA, servingImage(3, "api"), "n1")
+	place(jobB, servingImage(3, "search"), "n2")
+	place(jobC, servingImage(1, "api"), "n2")
+
+	for _, w := range f.sortedWorkers {
+		w.ready = true
+	}
+
+	f.Add(time.Second, 0, record(jobD, fillingImage(40, "hot")))
+	reportRuns(f, 6*time.Second, 60, nil)
+
+	return f
+}
+
+// TestNoServingMoveWhileStartsWait guards against a serving task that is stopped by a leader which can't
+// start it elsewhere, as it still awaits the report of a node: the task was out of service until then.
+func TestNoServingMoveWhileStartsWait(t *testing.T) {
+	f := movableServing(t)
+	f.unreported["n3"] = true
+	f.reportDeadline = MaxLeaseTime
+
+	assert.Equal(t, stops(f.Schedule(6*time.Second, time.Time{})), 0)
+	assert.Equal(t, len(f.ServingMoves()), 0)
+
+	f.Schedule(MaxLeaseTime, time.Time{})
+	assert.Equal(t, len(f.ServingMoves()), 1)
+}
+
 // TestPacedRunMovedFirst checks that a run that is paced down gets the room that becomes free before
 // tasks that wait, if its job comes first, and that the room is kept for it until it has stopped. Tasks
 // of other jobs took each free place, and the run stood still for 10 to 18 s.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -236,7 +236,7 @@
 	f.sortOpen(now)
 	clear(f.rejected)
 	f.checkReservations(now)
-	f.updateColocation(now)
+	f.updateColocation(now, blocked)
 
 	if f.Colocation && !blocked {
 		// Before other tasks take the room that runs at a low pace need.
