Move no serving task while another of its step is out of contact

A serving task was moved if all tasks of its step were at work by their last reports. One on a worker without a session may be lost, so that two of the step were away at a time.

TestNoServingMoveBesideLostTask: the task was moved beside a lost one before the change.

--- a/core/fleet/colocation.go
+++ b/core/fleet/colocation.go
@@ -287,7 +287,7 @@
 
 	for k := range s.tasks {
 		o := &s.tasks[k]
-		if o.phase != active {
+		if o.phase != active || !o.worker.connected {
 			return false
 		}
 
--- a/core/fleet/colocation_test.go
+++ b/core/fleet/colocation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -212,30 +213,37 @@
 }
 
 // movableServing returns a fleet with a serving task on n2 that keeps filling work from running, and
-// belongs on n1, beside others of its image. All have served for 6 s.
-func movableServing(t *testing.T) *Fleet {
+// belongs on n1, beside others of its image. There may be other tasks of its step, each on a worker of its
+// own. All have served for 6 s.
+func movableServing(t *testing.T, others ...string) *Fleet {
 	t.Helper()
 
-	f := newColocationFleet(2)
-	place := func(id string, s job.Step, on string) {
+	f := newColocationFleet(2 + len(others))
+	place := func(id string, s job.Step, on ...string) {
 		for _, w := range f.sortedWorkers {
-			w.ready = w.node == on
+			w.ready = slices.Contains(on, w.node)
 		}
 
 		f.Add(0, 0, record(id, s))
 		f.Schedule(0, time.Time{})
-		assert.Equal(t, runsOf(f, id)[on], s.Count)
+
+		for _, n := range on {
+			assert.Equal(t, runsOf(f, id)[n], s.Count/len(on))
+		}
 	}
 
 	place(jobA, servingImage(3, "api"), "n1")
 	place(jobB, servingImage(3, "search"), "n2")
-	place(jobC, servingImage(1, "api"), "n2")
+
+	moved := servingImage(1+len(others), "api")
+	moved.AntiAffinity = 1
+	place(jobC, moved, append(others, "n2")...)
 
 	for _, w := range f.sortedWorkers {
 		w.ready = true
 	}
 
-	f.Add(time.Second, 0, record(jobD, fillingImage(40, "hot")))
+	f.Add(time.Second, 0, record(jobD, fillingImage(60, "hot")))
 	reportRuns(f, 6*time.Second, 60, nil)
 
 	return f
@@ -255,6 +263,25 @@
 	assert.Equal(t, len(f.ServingMoves()), 1)
 }
 
+// TestNoServingMoveBesideLostTask guards against a serving task that is moved while another one of its
+// step is on a worker without a session, and may be lost: two of them were away.
+func TestNoServingMoveBesideLostTask(t *testing.T) {
+	for lost, moves := range map[bool]int{
+		false: 1,
+		true:  0,
+	} {
+		f := movableServing(t, "n3")
+		if lost {
+			f.Disconnected("n3")
+		}
+
+		f.Schedule(6*time.Second, time.Time{})
+
+		list := slices.DeleteFunc(f.ServingMoves(), func(m ServingMove) bool { return m.Task.Job != jobC })
+		assert.Equal(t, len(list), moves, "lost: %t", lost)
+	}
+}
+
 // TestPacedRunMovedFirst checks that a run that is paced down gets the room that becomes free before
 // tasks that wait, if its job comes first, and that the room is kept for it until it has stopped. Tasks
 // of other jobs took each free place, and the run stood still for 10 to 18 s.
