Bound the searches for workers that serving tasks are moved to

If no worker had room, an update searched all workers for each worker with a candidate, so that its cost grew with the square of the workers. An update now makes 32 searches, and the next one continues with the candidates after them, so that each gets its turn.

TestServingMoveSearches fails without the bound.

--- a/core/fleet/colocation.go
+++ b/core/fleet/colocation.go
@@ -26,6 +26,9 @@
 	maxNewlyBlocked = 0.15
 	// servingMoveShare is the part of the workers from which serving tasks may be moved at a time.
 	servingMoveShare = 5
+	// maxServingSearches bounds the searches of an update for workers that serving tasks are moved to.
+	// Each goes through all workers.
+	maxServingSearches = 32
 	// minServingRest is the least time for which a serving task stays on a worker. It is out of
 	// service for about 1.5 s with each move.
 	minServingRest = 5 * time.Second
@@ -42,6 +45,10 @@
 	// workers has the workers in the order of that list.
 	workers []*workerInfo
 	moves   []ServingMove
+	// searches is the number of searches for workers that serving tasks are moved to in the last update.
+	// searchFrom is the number of candidates that the next update leaves out, since their turn was in
+	// the updates before.
+	searches, searchFrom int
 	// destinations has the workers that hold room for runs that are stopped to be moved there.
 	destinations map[job.TaskID]destination
 }
@@ -230,11 +237,21 @@
 		}
 	}
 
-	for _, m := range c.planner.Candidates() {
+	candidates := c.planner.Candidates()
+	from := min(c.searchFrom, len(candidates))
+	c.searches, c.searchFrom = 0, 0
+
+	for i, m := range candidates[from:] {
 		if under >= max(1, len(f.sortedWorkers)/servingMoveShare) {
 			return
 		}
 
+		if c.searches == maxServingSearches {
+			c.searchFrom = from + i
+
+			return
+		}
+
 		w := c.workers[m.Worker]
 		if f.moveOneServing(now, w, m) {
 			under++
@@ -254,6 +271,8 @@
 			continue
 		}
 
+		f.colocation.searches++
+
 		to := f.servingDestination(now, j, s, w)
 		if to == nil {
 			return false
--- a/core/fleet/colocation_test.go
+++ b/core/fleet/colocation_test.go
@@ -282,6 +282,41 @@
 	}
 }
 
+// TestServingMoveSearches guards against an update whose cost grows with the square of the workers: it
+// searched all of them for each candidate, also if none had room for any. It checks as well that a
+// candidate that comes late gets its turn.
+func TestServingMoveSearches(t *testing.T) {
+	const workers = 3 * maxServingSearches
+
+	f := newColocationFleet(workers)
+	s := servingImage(workers, "api")
+	s.AntiAffinity = 1
+	f.Add(0, 0, record(jobA, s))
+	f.Schedule(0, time.Time{})
+	f.Add(0, 0, record(jobD, fillingImage(10*workers, "hot")))
+	reportRuns(f, 6*time.Second, 60, nil)
+
+	// No other worker has memory for one more.
+	for _, w := range f.sortedWorkers {
+		w.used.MemoryMB = w.capacity.MemoryMB
+	}
+
+	searched := map[int]bool{}
+
+	for now := 6 * time.Second; now < 8*time.Second; now += 100 * time.Millisecond {
+		f.Schedule(now, time.Time{})
+		assert.Assert(t, f.colocation.searches <= maxServingSearches)
+		searched[f.colocation.searchFrom] = true
+	}
+
+	assert.Equal(t, len(f.colocation.planner.Candidates()), workers)
+	assert.DeepEqual(t, searched, map[int]bool{
+		0:                      true,
+		maxServingSearches:     true,
+		2 * maxServingSearches: true,
+	})
+}
+
 // TestPacedRunMovedFirst checks that a run that is paced down gets the room that becomes free before
 // tasks that wait, if its job comes first, and that the room is kept for it until it has stopped. Tasks
 // of other jobs took each free place, and the run stood still for 10 to 18 s.
