Look once at the tasks of a serving step in an update

To find out whether all tasks of a step are at work, an update looked at all of them for each task of the step that was on a worker of a candidate: its cost grew with the square of the tasks of one job.

--- a/core/fleet/colocation.go
+++ b/core/fleet/colocation.go
@@ -49,6 +49,9 @@
 	// searchFrom is the number of candidates that the next update leaves out, since their turn was in
 	// the updates before.
 	searches, searchFrom int
+	// unsettled has the steps of which not all tasks are at work, as far as the last update looked at
+	// them: a step may have a task on each worker.
+	unsettled map[*stepInfo]bool
 	// destinations has the workers that hold room for runs that are stopped to be moved there.
 	destinations map[job.TaskID]destination
 }
@@ -240,6 +243,7 @@
 	candidates := c.planner.Candidates()
 	from := min(c.searchFrom, len(candidates))
 	c.searches, c.searchFrom = 0, 0
+	c.unsettled = map[*stepInfo]bool{}
 
 	for i, m := range candidates[from:] {
 		if under >= max(1, len(f.sortedWorkers)/servingMoveShare) {
@@ -300,17 +304,30 @@
 		return false
 	}
 
-	if now < r.stopAwaitedUntil || now < r.started+minServingRest {
+	if now < r.stopAwaitedUntil || now < r.started+minServingRest || f.colocation.unsettled[s] {
 		return false
 	}
 
+	if !f.allAtWork(now, j, s) {
+		f.colocation.unsettled[s] = true
+
+		return false
+	}
+
+	return true
+}
+
+// allAtWork reports whether all tasks of a step serve, as far as is known.
+func (f *Fleet) allAtWork(now time.Duration, j *jobInfo, s *stepInfo) bool {
+	step := f.stepIndex(j, s)
+
 	for k := range s.tasks {
 		o := &s.tasks[k]
 		if o.phase != active || !o.worker.connected {
 			return false
 		}
 
-		if other := o.worker.runs[j.taskID(f.stepIndex(j, s), k)]; other == nil || other.progressPercent < 100 || now < other.stopAwaitedUntil {
+		if other := o.worker.runs[j.taskID(step, k)]; other == nil || other.progressPercent < 100 || now < other.stopAwaitedUntil {
 			return false
 		}
 	}
--- a/core/fleet/colocation_test.go
+++ b/core/fleet/colocation_test.go
@@ -317,6 +317,44 @@
 	})
 }
 
+// updateTime returns the time of an update with a serving step of a task on each worker, of which one is
+// not at work.
+func updateTime(t *testing.T, workers int) time.Duration {
+	t.Helper()
+
+	f := newColocationFleet(workers)
+	s := servingImage(workers, "api")
+	s.AntiAffinity = 1
+	f.Add(0, 0, record(jobA, s))
+	f.Schedule(0, time.Time{})
+	f.Add(0, 0, record(jobD, fillingImage(10*workers, "hot")))
+	reportRuns(f, 6*time.Second, 60, nil)
+
+	last := job.TaskID{Job: jobA, Index: workers - 1}
+	_, _, k := f.findTask(last)
+	k.worker.runs[last].progressPercent = 50
+
+	fastest := time.Hour
+
+	for now := 6 * time.Second; now < 16*time.Second; now += time.Second {
+		began := time.Now()
+		f.updateColocation(now, false)
+		fastest = min(fastest, time.Since(began))
+	}
+
+	assert.Equal(t, len(f.ServingMoves()), 0)
+
+	return fastest
+}
+
+// TestLargeServingStep guards against an update that looks at all tasks of a step for each of them.
+func TestLargeServingStep(t *testing.T) {
+	few, many := updateTime(t, 100), updateTime(t, 1600)
+
+	// 16 times as many tasks take 16 times as long, and took about 256 times as long.
+	assert.Assert(t, many < 64*few, "100 tasks take %s, 1600 take %s", few, many)
+}
+
 // TestPacedRunMovedFirst checks that a run that is paced down gets the room that becomes free before
 // tasks that wait, if its job comes first, and that the room is kept for it until it has stopped. Tasks
 // of other jobs took each free place, and the run stood still for 10 to 18 s.
