Make room beside a task whose anti-affinity is in the way

If no room could be made for a task, none was sought for other tasks of its constraints and size for 250 ms. For a step with an anti-affinity, that may be due to its own tasks alone, and while it came first in the order, no room was ever made for the others. Such a step now counts for itself.

TestRoomBesideAntiAffinity: no run was stopped for the other task before the change.

--- a/core/fleet/preempt.go
+++ b/core/fleet/preempt.go
@@ -25,9 +25,11 @@
 	// pass is the time of the pass in which searches searches were made.
 	pass     time.Duration
 	searches int
-	// hopeless has the sizes for which no room could be made, until searchAgain.
-	hopeless    rejectedSizes
-	searchAgain time.Duration
+	// hopeless has the sizes for which no room could be made, and hopelessSteps the steps with an
+	// anti-affinity, of which that says nothing about others, until searchAgain.
+	hopeless      rejectedSizes
+	hopelessSteps map[*stepInfo]bool
+	searchAgain   time.Duration
 	// lapses has the times at which workers are no longer cleared, in ascending order.
 	lapses []time.Duration
 	log    []Preemption
@@ -103,13 +105,17 @@
 // none.
 func (f *Fleet) makeRoomFor(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo) bool {
 	p := &f.preemption
-	if !p.maySearch(now, constraintsOf(j, s.spec), s.spec.Size) {
+	if !p.maySearch(now, constraintsOf(j, s.spec), s) {
 		return false
 	}
 
 	best := f.cheapestRoom(now, j, s, t.preempted.roomOn)
 	if best == nil {
-		p.hopeless.add(constraintsOf(j, s.spec), s.spec.Size)
+		if s.spec.AntiAffinity > 0 {
+			p.hopelessSteps[s] = true
+		} else {
+			p.hopeless.add(constraintsOf(j, s.spec), s.spec.Size)
+		}
 
 		return false
 	}
@@ -157,10 +163,10 @@
 	return best
 }
 
-// maySearch reports whether room may be sought for a size now, and counts the search.
-func (p *preemption) maySearch(now time.Duration, c constraints, size job.Size) bool {
+// maySearch reports whether room may be sought for a task of a step now, and counts the search.
+func (p *preemption) maySearch(now time.Duration, c constraints, s *stepInfo) bool {
 	if now >= p.searchAgain {
-		p.hopeless = rejectedSizes{}
+		p.hopeless, p.hopelessSteps = rejectedSizes{}, map[*stepInfo]bool{}
 		p.searchAgain = now + roomSearchDelay
 	}
 
@@ -168,7 +174,7 @@
 		p.pass, p.searches = now, 0
 	}
 
-	if p.searches >= maxRoomSearches || p.hopeless.covers(c, size) {
+	if p.searches >= maxRoomSearches || p.hopelessSteps[s] || p.hopeless.covers(c, s.spec.Size) {
 		return false
 	}
 
@@ -346,7 +352,7 @@
 	}
 
 	times := p.lapses[:min(1, len(p.lapses))]
-	if len(p.hopeless) > 0 {
+	if len(p.hopeless)+len(p.hopelessSteps) > 0 {
 		times = append(slices.Clone(times), p.searchAgain)
 	}
 
--- a/core/fleet/preempt_test.go
+++ b/core/fleet/preempt_test.go
@@ -390,3 +390,31 @@
 	assert.Equal(t, f.preemption.searches, 0)
 	assert.Assert(t, f.NextWake(now+time.Millisecond) <= now+roomSearchDelay)
 }
+
+// TestRoomBesideAntiAffinity guards against a task for which no room can be made only because of its
+// anti-affinity, and which keeps the others of its size from having room made.
+func TestRoomBesideAntiAffinity(t *testing.T) {
+	f := preemptingFleet(t, 1, fillingStep(1))
+
+	// Its first task runs, and no other may on that worker.
+	apart := urgentStep(2)
+	apart.AntiAffinity = 1
+
+	now := 5 * time.Second
+	assert.Assert(t, f.Add(now, 0, record(jobA, apart)))
+	assert.Assert(t, f.Add(now, 0, record(urgentID, urgentStep(1))))
+	assert.Equal(t, startedOf(f.Schedule(now, time.Time{}), jobA), 1)
+	assert.Equal(t, f.open[0].record.ID, jobA)
+	assert.Equal(t, f.preemption.searches, 2)
+
+	preemptions := f.Preemptions()
+	assert.Equal(t, len(preemptions), 1)
+	assert.Equal(t, preemptions[0].For, urgentID)
+
+	// Nor is room sought for it in each pass.
+	f.Schedule(now+time.Millisecond, time.Time{})
+	assert.Equal(t, f.preemption.searches, 0)
+	assert.Assert(t, f.NextWake(now+time.Millisecond) <= now+roomSearchDelay)
+	f.Schedule(now+roomSearchDelay, time.Time{})
+	assert.Equal(t, f.preemption.searches, 1)
+}
