Stop no run for a task that waits for the rack of its data

A task that waits for its rack although another worker has room counted as one that finds no worker, so that room was made for it: runs were stopped on a worker where it did not start, and less urgent tasks were kept from that worker for 3 s.

TestNoRoomForRackWait: a run was stopped before the change.

--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -62,8 +62,10 @@
 	// is one, and reservedLate that one was late since the last start of a task of the step.
 	searchAt               time.Duration
 	reserved, reservedLate bool
-	// rackSince is when the first task began to wait for the rack of its data, or 0.
-	rackSince time.Duration
+	// rackSince is when the first task began to wait for the rack of its data, or 0. awaitsRack means
+	// that a worker outside the rack had room in the last search.
+	rackSince  time.Duration
+	awaitsRack bool
 }
 
 func (s *stepInfo) complete() bool { return s.done == len(s.tasks) }
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -66,9 +66,13 @@
 			if f.LookAhead {
 				f.reserve(now, j, i, k)
 			}
-			// The tasks of a step are identical, so no other one fits either.
-			f.makeRoom(now, j, s, k)
 
+			// A task that waits for the rack of its data has room elsewhere.
+			if !s.awaitsRack {
+				f.makeRoom(now, j, s, k)
+			}
+
+			// The tasks of a step are identical, so no other one fits either.
 			return
 		}
 
@@ -80,6 +84,8 @@
 // chooseWorker returns the feasible worker with the highest score for a task, or
 // nil. Ties go to the first node name.
 func (f *Fleet) chooseWorker(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo) *workerInfo {
+	s.awaitsRack = false
+
 	c := constraintsOf(j, s.spec)
 	if f.ahead.plan.Len() > 0 {
 		f.reachStep(j, s, &c)
@@ -91,7 +97,7 @@
 
 	best := f.bestWorker(now, j, s, t)
 
-	if f.awaitsRack(now, j, s, best) {
+	if s.awaitsRack = f.awaitsRack(now, j, s, best); s.awaitsRack {
 		return nil
 	}
 
--- a/core/fleet/preempt_test.go
+++ b/core/fleet/preempt_test.go
@@ -418,3 +418,29 @@
 	f.Schedule(now+roomSearchDelay, time.Time{})
 	assert.Equal(t, f.preemption.searches, 1)
 }
+
+// TestNoRoomForRackWait guards against runs that are stopped for a task that has room and only waits for
+// the rack of its data.
+func TestNoRoomForRackWait(t *testing.T) {
+	f := newRackFleet(true)
+	f.Preemption = true
+
+	// A worker without room, which is outside the rack as well.
+	f.workers["n2"].ready = false
+	f.Report(0, "n0", described("n0"))
+	assert.Assert(t, f.Add(0, 0, lessUrgent(otherID, fillingStep(2))))
+	f.Schedule(0, time.Time{})
+	assert.Equal(t, runsOf(f, otherID)["n0"], 2)
+
+	f.workers["n2"].ready = true
+
+	now := 600 * time.Millisecond
+	s := urgentStep(1)
+	s.DataRack = rackLabel
+	assert.Assert(t, f.Add(now, 0, record(urgentID, s)))
+
+	o := f.Schedule(now, time.Time{})
+	assert.Equal(t, startedOf(o, urgentID), 0)
+	assert.Equal(t, stops(o), 0)
+	assert.Assert(t, f.workers["n0"].clearing.task == nil)
+}
