Stop no run where the room is kept for a reservation

With LookAhead and Preemption, room was made for a task also on a worker that is reserved for a task ahead of it. The runs were stopped, and the task did not start there, since it would have delayed the reservation; after 3 s the same happened on another worker.

TestNoRoomOnReservedWorker: a run was stopped before the change, and the task was not placed after its end.

--- a/core/fleet/preempt.go
+++ b/core/fleet/preempt.go
@@ -230,6 +230,11 @@
 		return nil
 	}
 
+	if w.reserved.held && f.ahead.plan.Binds(w.node, claimOf(now, j, s)) {
+		// The room would be kept for the task of the reservation.
+		return nil
+	}
+
 	victims, free := f.victimsOn(now, j, w)
 	used := w.used.Sub(free)
 
--- a/core/fleet/preempt_test.go
+++ b/core/fleet/preempt_test.go
@@ -444,3 +444,32 @@
 	assert.Equal(t, stops(o), 0)
 	assert.Assert(t, f.workers["n0"].clearing.task == nil)
 }
+
+// TestNoRoomOnReservedWorker guards against runs that are stopped for a task where the room is then kept
+// for the reservation of another task, which comes first.
+func TestNoRoomOnReservedWorker(t *testing.T) {
+	f := New(1)
+	f.Preemption, f.LookAhead = true, true
+	f.Report(0, "n1", described("n1"))
+
+	urgent, less := sized(1, 2, 2*time.Second), sized(1, 2, time.Minute)
+	less.Checkpointing = true
+
+	assert.Assert(t, f.Add(0, 0, record(jobA, urgent)))
+	assert.Assert(t, f.Add(0, 0, lessUrgent(otherID, less)))
+	f.Schedule(0, time.Time{})
+
+	// No room can be made for the first task before that of jobA ends. The other one would fit at once,
+	// but would delay it.
+	first, second := sized(1, 3, time.Second), sized(1, 2, time.Minute)
+	assert.Assert(t, f.Add(0, time.Second, record(jobB, first)))
+	assert.Assert(t, f.Add(0, 0, record(urgentID, second)))
+
+	assert.Equal(t, stops(f.Schedule(time.Second, time.Time{})), 0)
+	assert.Equal(t, len(f.Reservations()), 1)
+
+	// A task that comes before that of the reservation is not bound by it.
+	assert.Assert(t, f.Add(time.Second, 2300*time.Millisecond, record(jobC, sized(1, 2, time.Second))))
+	assert.Equal(t, stops(f.Schedule(1500*time.Millisecond, time.Time{})), 1)
+	assert.Equal(t, f.Preemptions()[0].For, jobC)
+}
--- a/core/lookahead/plan.go
+++ b/core/lookahead/plan.go
@@ -201,6 +201,13 @@
 	return false
 }
 
+// Binds reports whether a worker is reserved for a task of another step that a claim must not delay.
+func (p *Plan) Binds(node string, c Claim) bool {
+	i := p.onNode(node)
+
+	return i >= 0 && p.list[i].Step != c.Step && !p.list[i].outrankedBy(c)
+}
+
 // outrankedBy reports whether a claim needn't respect the reservation.
 func (r *Reservation) outrankedBy(c Claim) bool {
 	return c.Priority < r.Priority || (c.Priority == r.Priority && !r.reached)
