Let paced runs without another worker leave searches to others

A pass searches a worker for 32 paced runs, in the order of their jobs. Runs that no worker suits used up the searches of each pass, so that runs of later jobs stayed at a low pace although there was room for them. Runs with the constraints of one that found no worker, and at least its size, are now left out, as waiting tasks are.

TestPacedRunsWithoutRoom: with 64 runs that have no other worker, the one that has was not moved before the change.

--- a/core/fleet/colocation_test.go
+++ b/core/fleet/colocation_test.go
@@ -410,6 +410,41 @@
 	return t.worker.node
 }
 
+// TestPacedRunsWithoutRoom guards against paced runs that no other worker suits and that use up all searches
+// of each pass, so that a run of a later job stays although a worker has room for it.
+func TestPacedRunsWithoutRoom(t *testing.T) {
+	f := newColocationFleet(2)
+	f.Add(0, 0, record(jobA, servingImage(10, "api")))
+	f.Schedule(0, time.Time{})
+	assert.DeepEqual(t, runsOf(f, jobA), map[string]int{
+		"n1": 5,
+		"n2": 5,
+	})
+
+	pace := map[job.TaskID]int{}
+
+	for i, r := range []job.Record{
+		record(jobC, fillingImage(2*maxPacedSearches, "hot")),
+		record(jobD, fillingImage(1, "any")),
+	} {
+		f.Add(time.Duration(i), 0, r)
+		j := f.jobs[r.ID]
+
+		for k := range j.steps[0].tasks {
+			id := j.taskID(0, k)
+			f.assign(0, j, &j.steps[0], &j.steps[0].tasks[k], f.workers["n1"], id, 1)
+
+			pace[id] = 0
+		}
+	}
+
+	reportRuns(f, time.Second, 140, pace)
+	reportRuns(f, 2*time.Second, 140, pace)
+
+	assert.Equal(t, stops(f.Schedule(2*time.Second, time.Time{})), 1)
+	assert.Equal(t, f.Moves()[0].Task, job.TaskID{Job: jobD})
+}
+
 // TestHeldRoomGivenUp checks that room that is held for a run is free again when the stop of the run
 // takes too long, and that the sizes in use add up afterwards.
 func TestHeldRoomGivenUp(t *testing.T) {
--- a/core/fleet/move_paced.go
+++ b/core/fleet/move_paced.go
@@ -22,7 +22,7 @@
 // their jobs, and holds that room. The load that it answers is a job of which all tasks but one are
 // done: that one stays at a low pace for as long as tasks of other jobs take each free place first.
 func (f *Fleet) movePaced(now time.Duration) {
-	searches := 0
+	searches, rejected := 0, rejectedSizes{}
 
 	for _, p := range f.pacedRuns(now) {
 		if searches == maxPacedSearches {
@@ -34,10 +34,22 @@
 			continue
 		}
 
+		// Runs that are as hard to place as one that found no worker must not use up the searches.
+		c := constraintsOf(j, s.spec)
+		c.runTime = runTimeDigits(s.spec)
+
+		if !s.reserved && rejected.covers(c, s.spec.Size) {
+			continue
+		}
+
 		searches++
 
 		to := f.bestOther(now, j, s, p.worker)
 		if to == nil {
+			if s.spec.AntiAffinity == 0 && !s.reserved {
+				rejected.add(c, s.spec.Size)
+			}
+
 			continue
 		}
 
--- a/core/fleet/reservations.go
+++ b/core/fleet/reservations.go
@@ -332,5 +332,10 @@
 		c.reservation = uint8(f.ahead.plan.Reach(reservationKey(j, s)))
 	}
 
-	c.runTime = uint8(bits.Len64(uint64(max(0, s.spec.Estimate.Milliseconds()))))
+	c.runTime = runTimeDigits(s.spec)
+}
+
+// runTimeDigits returns the number of binary digits of a task's estimated run time in milliseconds.
+func runTimeDigits(s *job.Step) uint8 {
+	return uint8(bits.Len64(uint64(max(0, s.Estimate.Milliseconds()))))
 }
