Count the recent work of all images for the placement of serving tasks

The share of the recent filling work that a serving task would block was that of images with tasks at present, so that an image whose last tasks had just ended did not count. And only the first 128 images were remembered, whatever their work, so that the work of an image that came later could be left out for good. The images with the most present work are now considered, then those with the most recent work, 64 together.

TestRecentWork and TestWorkBesideManyImages: the share was 0 in both before the change.

--- a/core/colocation/colocation.go
+++ b/core/colocation/colocation.go
@@ -25,6 +25,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/bits"
 	"slices"
 	"time"
@@ -40,6 +41,8 @@
 	// demandMemory is the time constant with which the work of an image is forgotten. Serving tasks
 	// run for a minute or more, so that the images of the last seconds shape their placement.
 	demandMemory = 15 * time.Second
+	// minRecent is the smoothed work, in cores, below which an image without present work is forgotten.
+	minRecent = 0.01
 	// maxPressure bounds the pressure of an image, so that one that suits no worker doesn't outweigh
 	// all else.
 	maxPressure = 4.0
@@ -116,10 +119,12 @@
 // It is not safe for concurrent use.
 type Planner struct {
 	updated time.Duration
-	// recent is the filling work by image, smoothed over demandMemory.
+	// recent is the filling work by image, smoothed over demandMemory. It has the images of demands.
 	recent map[string]float64
 
-	index   map[string]int
+	index map[string]int
+	// demands has the images that are considered: those with the most present work, then those with
+	// recent work.
 	demands []Demand
 	// room is the free processor time on the workers that suit an image, and pressure how scarce
 	// it is.
@@ -141,13 +146,12 @@
 // Update replaces what is known of the demands and the workers. effect must stay valid until the next
 // update.
 func (p *Planner) Update(now time.Duration, demands []Demand, workers []Worker, effect func(filling, serving string) Effect) {
-	p.remember(now, demands)
-
 	p.demands = slices.Clone(demands)
 	slices.SortFunc(p.demands, func(a, b Demand) int {
 		return cmp.Or(cmp.Compare(b.Waiting+b.Running, a.Waiting+a.Running), cmp.Compare(a.Image, b.Image))
 	})
 	p.demands = p.demands[:min(len(p.demands), maxImages)]
+	p.remember(now)
 
 	p.effect = effect
 	p.effects = map[string]images{}
@@ -161,8 +165,9 @@
 	p.rank()
 }
 
-// remember updates the smoothed work of all images, and forgets the smallest.
-func (p *Planner) remember(now time.Duration, demands []Demand) {
+// remember updates the smoothed work of the images that are considered, and adds those without present
+// work to them. Of these, it forgets the smallest.
+func (p *Planner) remember(now time.Duration) {
 	if p.recent == nil {
 		p.recent = map[string]float64{}
 	}
@@ -170,17 +175,26 @@
 	share := min(1, max(0, float64(now-p.updated)/float64(demandMemory)))
 	p.updated = now
 
-	for i, v := range p.recent {
-		if v *= 1 - share; v < 0.01 {
-			delete(p.recent, i)
-		} else {
-			p.recent[i] = v
-		}
+	for i := range p.recent {
+		p.recent[i] *= 1 - share
 	}
 
-	for _, d := range demands {
-		if _, ok := p.recent[d.Image]; ok || len(p.recent) < 2*maxImages {
-			p.recent[d.Image] += share * (d.Waiting + d.Running)
+	past := maps.Clone(p.recent)
+
+	for _, d := range p.demands {
+		p.recent[d.Image] += share * (d.Waiting + d.Running)
+		delete(past, d.Image)
+	}
+
+	names := slices.SortedFunc(maps.Keys(past), func(a, b string) int {
+		return cmp.Or(cmp.Compare(past[b], past[a]), cmp.Compare(a, b))
+	})
+
+	for _, i := range names {
+		if past[i] < minRecent || len(p.demands) == maxImages {
+			delete(p.recent, i)
+		} else {
+			p.demands = append(p.demands, Demand{Image: i})
 		}
 	}
 }
@@ -288,12 +302,14 @@
 // NewlyBlocked returns the share of the recent filling work that can't run on a worker any more if a
 // serving task of an image is added to serving tasks of other images.
 func (p *Planner) NewlyBlocked(serving map[string]int, image string) float64 {
+	if serving[image] > 0 {
+		return 0
+	}
+
 	var before images
 
 	for s := range serving {
-		if s != image {
-			before = before.union(p.effectsOf(s))
-		}
+		before = before.union(p.effectsOf(s))
 	}
 
 	added := p.effectsOf(image)
@@ -305,7 +321,7 @@
 		blocked += recent * max(0, added.probability(1<<n)-before.probability(1<<n))
 	}
 
-	if total == 0 || serving[image] > 0 {
+	if total == 0 {
 		return 0
 	}
 
--- a/core/colocation/colocation_test.go
+++ b/core/colocation/colocation_test.go
@@ -103,6 +103,59 @@
 	assert.Equal(t, p.NewlyBlocked(nil, "api"), 0.0, "without any filling work")
 }
 
+// TestRecentWork guards against serving tasks that are placed as if there were no work of an image whose
+// last tasks have just ended.
+func TestRecentWork(t *testing.T) {
+	effect := effects(map[[2]string]bool{{"hot", "api"}: true}, nil)
+
+	var p Planner
+
+	p.Update(time.Minute, []Demand{{Image: "hot", Waiting: 30}, {Image: "cold", Running: 10}}, nil, effect)
+	p.Update(time.Minute+time.Second, []Demand{{Image: "cold", Running: 10}}, nil, effect)
+
+	share := p.NewlyBlocked(nil, "api")
+	assert.Assert(t, share > 0.7 && share < 0.75, "%g", share)
+	assert.Equal(t, p.Price(0, "cold"), 0.0)
+
+	// It is forgotten in the end.
+	for now := 2 * time.Minute; now < 4*time.Minute; now += time.Second {
+		p.Update(now, []Demand{{Image: "cold", Running: 10}}, nil, effect)
+	}
+
+	assert.Equal(t, p.NewlyBlocked(nil, "api"), 0.0)
+	assert.Equal(t, len(p.recent), 1)
+}
+
+// TestWorkBesideManyImages guards against work that is left out for good because many images with little
+// work came before: two jobs have up to 200.
+func TestWorkBesideManyImages(t *testing.T) {
+	effect := effects(map[[2]string]bool{{"hot", "api"}: true}, nil)
+
+	var (
+		p       Planner
+		demands []Demand
+	)
+
+	for i := range 200 {
+		demands = append(demands, Demand{
+			Image:   fmt.Sprintf("small-%d", i),
+			Waiting: 0.1,
+		})
+	}
+
+	p.Update(time.Minute, demands, nil, effect)
+	demands = append(demands, Demand{
+		Image:   "hot",
+		Waiting: 100,
+	})
+
+	for now := time.Minute; now < 2*time.Minute; now += 100 * time.Millisecond {
+		p.Update(now, demands, nil, effect)
+	}
+
+	assert.Assert(t, p.NewlyBlocked(nil, "api") > 0.9, "%g", p.NewlyBlocked(nil, "api"))
+}
+
 // TestCandidates guards against filling work that waits although the move of one serving task would
 // free a worker, and against moves that free nothing, too little, or work that has room elsewhere.
 func TestCandidates(t *testing.T) {
