Bound the row of absent nodes in bytes

The row had up to 500 names of any length. The store rejects one that is too large, also with a small RowBytes. From then on, each node in it that came back was held: the row might list it until it is written, and it never was.

TestAbsencesOfLongNames: the write of 500 names of 200 bytes was rejected before the change.

--- a/coordinator/absences.go
+++ b/coordinator/absences.go
@@ -20,7 +20,7 @@
 	absentKey = "absent"
 	// absencePeriod is the time between two checks for absent sidecars.
 	absencePeriod = time.Second
-	// maxAbsences bounds the row, to about 30 bytes each.
+	// maxAbsences bounds the sidecars in the row, which is bounded by maxAbsenceBytes as well.
 	maxAbsences = 500
 )
 
@@ -113,15 +113,32 @@
 	return nil
 }
 
-// absentNodes returns the names of the absent sidecars that have no session. The caller holds l.mu.
+// maxAbsenceBytes is the largest size of the row. The store may count a value as it is sent, in base64.
+func (l *leader) maxAbsenceBytes() int { return l.c.settings.Store.RowLimit() / 4 * 3 }
+
+// absentNodes returns the names of the absent sidecars that have no session, as many as fit into the row.
+// The caller holds l.mu.
 func (l *leader) absentNodes() []string {
 	var absent []string
 
+	// The brackets of the list.
+	size := 2
+
 	for _, name := range l.fleet.Absent(l.c.now()) {
 		n := l.nodes[name]
-		if n != nil && n.session == nil && !n.returning && len(absent) < maxAbsences {
-			absent = append(absent, name)
+		if n == nil || n.session != nil || n.returning {
+			continue
 		}
+
+		encoded, err := json.Marshal(name)
+		// One more for the comma.
+		size += len(encoded) + 1
+
+		if err != nil || len(absent) == maxAbsences || size > l.maxAbsenceBytes() {
+			break
+		}
+
+		absent = append(absent, name)
 	}
 
 	return absent
--- a/coordinator/absences_test.go
+++ b/coordinator/absences_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -78,6 +79,31 @@
 	}
 }
 
+// TestAbsencesOfLongNames guards against a row that is larger than the store accepts. All sidecars in it
+// were kept waiting for good when they came back, since the row may list them until it is written.
+func TestAbsencesOfLongNames(t *testing.T) {
+	s := emulator.NewRowStore()
+	l := newTestLeader(t, s)
+
+	for i := range maxAbsences {
+		name := fmt.Sprintf("%0200d", i)
+		l.nodes[name] = &nodeLink{node: peer.Node{Name: name}}
+		l.fleet.Report(0, name, fleet.Report{Full: true})
+		l.fleet.Disconnected(name)
+	}
+
+	l.c.now = func() time.Duration { return time.Second }
+	l.lease.record.Expiry += time.Second
+
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.NilError(t, l.loadAbsences(t.Context()))
+
+	// The store may count a value as it is sent, in base64.
+	listed := len(l.absences.Listed())
+	assert.Assert(t, listed*203*4/3 <= l.c.settings.Store.RowLimit(), "%d names", listed)
+	assert.Assert(t, listed >= 200, "%d names", listed)
+}
+
 // TestAbsentNodeReturns checks that a sidecar that the stored row lists as absent is not used
 // before the row has been changed. The next leader would not wait for its report, and would start
 // its tasks a second time.
