List a node as absent again that leaves before its report

The leader lists no node as absent whose next session it awaits, since the row no longer lists it. If that node left before its first report, it was never listed again, and the next leader waited 6.4 s for it. The wait for the session now ends after 6.4 s.

TestAbsentNodeLeavesAgain: the node was not listed before the change.

--- a/coordinator/absences.go
+++ b/coordinator/absences.go
@@ -22,6 +22,9 @@
 	absencePeriod = time.Second
 	// maxAbsences bounds the sidecars in the row, which is bounded by maxAbsenceBytes as well.
 	maxAbsences = 500
+	// returnTime is the time that a sidecar which is back has to open another session and report, until it
+	// is listed as absent again.
+	returnTime = fleet.MaxLeaseTime
 )
 
 // loadAbsences reads the row of absent sidecars. It is called once this leader's term is
@@ -105,7 +108,7 @@
 
 	for _, n := range l.nodes {
 		if n.session != nil && n.held && !l.absences.MayList(n.node.Name) {
-			n.returning = true
+			n.returningUntil = l.c.now() + returnTime
 			n.session.Close()
 		}
 	}
@@ -121,12 +124,13 @@
 func (l *leader) absentNodes() []string {
 	var absent []string
 
+	now := l.c.now()
 	// The brackets of the list.
 	size := 2
 
-	for _, name := range l.fleet.Absent(l.c.now()) {
+	for _, name := range l.fleet.Absent(now) {
 		n := l.nodes[name]
-		if n == nil || n.session != nil || n.returning {
+		if n == nil || n.session != nil || now < n.returningUntil {
 			continue
 		}
 
--- a/coordinator/absences_test.go
+++ b/coordinator/absences_test.go
@@ -146,3 +146,66 @@
 
 	assert.Assert(t, !l.absences.MayList(n.Name))
 }
+
+// TestAbsentNodeLeavesAgain guards against a sidecar that comes back, leaves before its first report, and
+// is never listed as absent again: the next leader waited for it.
+func TestAbsentNodeLeavesAgain(t *testing.T) {
+	l := newTestLeader(t, emulator.NewRowStore())
+	sessions, frames := make(chan *peer.Session, 2), make(chan *peerpb.Frame, 1)
+	n := acceptNode(t, sessions, frames)
+
+	_, err := l.commitAbsences(t.Context(), []string{n.Name}, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, l.loadAbsences(t.Context()))
+
+	now := l.c.now()
+	l.fleet.AwaitReports(now, []string{n.Name}, l.absences.Listed())
+
+	row, err := n.Row()
+	assert.NilError(t, err)
+
+	_, ok := l.applyNodeRow(t.Context(), row)
+	assert.Assert(t, ok)
+
+	<-l.absenceEnded
+
+	l.mu.Lock()
+	held := l.nodes[n.Name].session
+	l.mu.Unlock()
+
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.Equal(t, len(l.absences.Listed()), 0)
+
+	session := func() *peer.Session {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+
+		return l.nodes[n.Name].session
+	}
+
+	// The first session is closed, and so is the next one, without a report.
+	for s := session(); s == nil || s == held; s = session() {
+		time.Sleep(time.Millisecond)
+	}
+
+	l.mu.Lock()
+	l.nodes[n.Name].cancel()
+	l.mu.Unlock()
+
+	for session() != nil {
+		time.Sleep(time.Millisecond)
+	}
+
+	// Its new session may be on its way at first.
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.Equal(t, len(l.absences.Listed()), 0)
+
+	l.mu.Lock()
+	later := l.c.now() + fleet.MaxLeaseTime
+	l.c.now = func() time.Duration { return later }
+	l.lease.record.Expiry += fleet.MaxLeaseTime
+	l.mu.Unlock()
+
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.Equal(t, len(l.absences.Listed()), 1)
+}
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -23,8 +23,9 @@
 	// held means that the session's frames are not handled, since the row of absent sidecars
 	// may list this one.
 	held bool
-	// returning means that the row no longer lists the sidecar, which opens another session.
-	returning bool
+	// returningUntil is how long another session of a sidecar is awaited that the row no longer lists, 0
+	// if none is.
+	returningUntil time.Duration
 	// present is when the process was last known to run: when its row was read or its last session
 	// ended.
 	present time.Duration
@@ -248,7 +249,7 @@
 			zap.String("How", string(e.Reason)), zap.String("Node", n.node.Name), zap.Int64("Number", e.Number))
 	}
 
-	n.returning = false
+	n.returningUntil = 0
 	l.fleet.Report(l.c.now(), n.node.Name, r)
 	notify(l.wake)
 }
