Take a row of absent nodes that can't be decoded for empty

The part of the list before an error was kept, so that its nodes were not waited for.

TestUnreadableAbsences: a node of an unreadable row was listed before the change.

--- a/coordinator/absences.go
+++ b/coordinator/absences.go
@@ -45,6 +45,9 @@
 		var absent []string
 		if err := json.Unmarshal(r.Value, &absent); err != nil {
 			l.c.log.Error("AbsencesUnreadable", zap.Int64("Row", r.Version), jsonlog.Error(err))
+
+			// A part of it may have been decoded.
+			absent = nil
 		}
 
 		absences = fleet.NewAbsences(absent, r.Version)
--- a/coordinator/absences_test.go
+++ b/coordinator/absences_test.go
@@ -11,6 +11,7 @@
 	"trefoildeck/core/job"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
+	"trefoildeck/io/rows"
 	"trefoildeck/standin/emulator"
 
 	"gotest.tools/v3/assert"
@@ -209,3 +210,25 @@
 	assert.NilError(t, l.storeAbsences(t.Context()))
 	assert.Equal(t, len(l.absences.Listed()), 1)
 }
+
+// TestUnreadableAbsences guards against nodes that are not waited for because of a row that can be decoded
+// in part.
+func TestUnreadableAbsences(t *testing.T) {
+	s := emulator.NewRowStore()
+	l := newTestLeader(t, s)
+
+	stamp, err := l.c.store.Commit(t.Context(), rows.Transaction{
+		Part: leadPart,
+		Set: []rows.Row{{
+			Table: leadTable,
+			Key:   absentKey,
+			Value: []byte(`["side-2",2]`),
+		}},
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, l.loadAbsences(t.Context()))
+	assert.Equal(t, len(l.absences.Listed()), 0)
+
+	// The next write replaces it.
+	assert.Equal(t, l.absences.Version, stamp.Version)
+}
