Place tasks with held room before others of their step

A pass ends with the first task of a step that no worker has room for. A moved run behind it in its step was not placed on the worker that held room for it, and the room stayed idle for 2 s.

TestHeldRoomBehindWaitingTask: the moved task was not started before the change.

--- a/core/fleet/colocation.go
+++ b/core/fleet/colocation.go
@@ -59,7 +59,7 @@
 // destination is room that is held on a worker.
 type destination struct {
 	worker *workerInfo
-	step   *job.Step
+	step   *stepInfo
 	until  time.Duration
 }
 
@@ -235,7 +235,7 @@
 	under := 0
 
 	for _, d := range c.destinations {
-		if d.step.TargetLatency > 0 {
+		if d.step.spec.TargetLatency > 0 {
 			under++
 		}
 	}
@@ -375,9 +375,10 @@
 
 	f.colocation.destinations[id] = destination{
 		worker: to,
-		step:   s.spec,
+		step:   s,
 		until:  now + destinationTime,
 	}
+	s.held++
 	to.addUse(s.spec, 1)
 }
 
@@ -390,7 +391,8 @@
 	}
 
 	delete(f.colocation.destinations, id)
-	d.worker.addUse(d.step, -1)
+	d.step.held--
+	d.worker.addUse(d.step.spec, -1)
 
 	return d.worker
 }
--- a/core/fleet/colocation_test.go
+++ b/core/fleet/colocation_test.go
@@ -445,6 +445,46 @@
 	assert.Equal(t, f.Moves()[0].Task, job.TaskID{Job: jobD})
 }
 
+// TestHeldRoomBehindWaitingTask guards against room that is held for a task and stays idle, since a task of
+// the same step comes first that no worker has room for.
+func TestHeldRoomBehindWaitingTask(t *testing.T) {
+	f := newColocationFleet(2)
+	f.Add(0, 0, record(jobA, fillingImage(3, "any")))
+	f.Schedule(0, time.Time{})
+
+	moved := job.TaskID{
+		Job:   jobA,
+		Index: 1,
+	}
+	_, s, k := f.findTask(moved)
+	from, to := k.worker, f.sortedWorkers[0]
+
+	if to == from {
+		to = f.sortedWorkers[1]
+	}
+
+	f.moveTo(time.Second, from, to, s, k, moved, from.runs[moved])
+
+	// Tasks of others have taken the rest.
+	for _, w := range f.sortedWorkers {
+		w.fillingMilliCores = 2 * w.capacity.MilliCores
+	}
+
+	for i, id := range []job.TaskID{{Job: jobA}, moved} {
+		f.RecordEnd(2*time.Second, f.tasksNode(id), gate.End{
+			Number:  int64(i + 1),
+			Task:    id,
+			Attempt: 1,
+			Reason:  gate.Stopped,
+		})
+	}
+
+	f.Schedule(2*time.Second, time.Time{})
+	assert.Equal(t, s.tasks[0].phase, waiting)
+	assert.Equal(t, k.phase, active)
+	assert.Equal(t, k.worker, to)
+}
+
 // TestHeldRoomGivenUp checks that room that is held for a run is free again when the stop of the run
 // takes too long, and that the sizes in use add up afterwards.
 func TestHeldRoomGivenUp(t *testing.T) {
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -66,6 +66,8 @@
 	// that a worker outside the rack had room in the last search.
 	rackSince  time.Duration
 	awaitsRack bool
+	// held is the number of tasks for which room is held on a worker.
+	held int
 }
 
 func (s *stepInfo) complete() bool { return s.done == len(s.tasks) }
--- a/core/fleet/place.go
+++ b/core/fleet/place.go
@@ -50,6 +50,7 @@
 
 func (f *Fleet) placeStep(now time.Duration, j *jobInfo, i int) {
 	s := &j.steps[i]
+	f.placeHeld(now, j, i)
 
 	for k := range s.tasks {
 		t := &s.tasks[k]
@@ -57,11 +58,7 @@
 			continue
 		}
 
-		w := f.heldWorker(now, j, s, j.taskID(i, k))
-		if w == nil {
-			w = f.chooseWorker(now, j, s, t)
-		}
-
+		w := f.chooseWorker(now, j, s, t)
 		if w == nil {
 			if f.LookAhead {
 				f.reserve(now, j, i, k)
@@ -81,6 +78,23 @@
 	}
 }
 
+// placeHeld starts the waiting tasks of a step for which room is held. Others of the step may have none.
+func (f *Fleet) placeHeld(now time.Duration, j *jobInfo, i int) {
+	s := &j.steps[i]
+
+	for k := 0; k < len(s.tasks) && s.held > 0; k++ {
+		t := &s.tasks[k]
+		if t.phase != waiting || now < t.notBefore {
+			continue
+		}
+
+		if w := f.heldWorker(now, j, s, j.taskID(i, k)); w != nil {
+			f.settle(now, j, s, w)
+			f.startTask(now, j, s, t, w, j.taskID(i, k))
+		}
+	}
+}
+
 // chooseWorker returns the feasible worker with the highest score for a task, or
 // nil. Ties go to the first node name.
 func (f *Fleet) chooseWorker(now time.Duration, j *jobInfo, s *stepInfo, t *taskInfo) *workerInfo {
