Don't shorten the loads that the leader compares

Encoding the load of a service with many accounts dropped accounts from the leader's own copy, with which it compares the next load. Such a service seemed to have changed each time, so that its load was sent each 250 ms and not each 500 ms.

TestEncodedLoadUnchanged: an unchanged load counted as changed before.

--- a/coordinator/admission.go
+++ b/coordinator/admission.go
@@ -125,7 +125,7 @@
 			continue
 		}
 
-		// Encoding drops what exceeds the bound of a message.
+		// Messages lack what exceeds their bound.
 		messages := peer.EncodeBacklog(loads)
 
 		sentAt = now
--- a/io/peer/backlog.go
+++ b/io/peer/backlog.go
@@ -37,15 +37,21 @@
 
 // encodeLoad encodes a load in at most maxLoadBytes, or returns nil if that is not possible.
 func encodeLoad(l *backlog.Load) *peerpb.ServiceLoad {
+	// Shortening must not change the load of the caller.
+	short := *l
+	short.Priorities = slices.Clone(l.Priorities)
 	accounts := 0
-	for _, p := range l.Priorities {
+
+	for i := range short.Priorities {
+		p := &short.Priorities[i]
+		p.Accounts = slices.Clone(p.Accounts)
 		accounts += len(p.Accounts)
 	}
 
 	for {
-		l.Shorten(accounts)
+		short.Shorten(accounts)
 
-		if m := toServiceLoad(l); proto.Size(m) <= maxLoadBytes {
+		if m := toServiceLoad(&short); proto.Size(m) <= maxLoadBytes {
 			return m
 		}
 
--- a/io/peer/backlog_test.go
+++ b/io/peer/backlog_test.go
@@ -94,6 +94,15 @@
 	assert.Equal(t, n, len(services))
 }
 
+// TestEncodedLoadUnchanged guards against loads that lose accounts by being encoded: the leader compares
+// them with the next ones, and sent those of many accounts twice as often, since they seemed to change.
+func TestEncodedLoadUnchanged(t *testing.T) {
+	l := load("orders", 1000)
+	EncodeBacklog([]*backlog.Load{l})
+	assert.Assert(t, !load("orders", 1000).Changed(l))
+	assert.DeepEqual(t, l, load("orders", 1000))
+}
+
 // TestMalformedBacklog checks that amounts that no leader sends don't overflow.
 func TestMalformedBacklog(t *testing.T) {
 	l := DecodeBacklog(0, &peerpb.Backlog{Services: []*peerpb.ServiceLoad{{
