--- a/coordinator/refusals.go
+++ b/coordinator/refusals.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// refusalPrefix is the begin of the value of a refusal, and of no job.
+// refusalPrefix is the beginning of the value of a refusal, and of no job.
 var refusalPrefix = []byte(`{"Refused":`)
 
 func isRefusal(value []byte) bool { return bytes.HasPrefix(value, refusalPrefix) }
--- a/core/backlog/order.go
+++ b/core/backlog/order.go
@@ -84,7 +84,7 @@
 	return k
 }
 
-// prefix returns the number of keys at the begin of a list that are the same as the first one.
+// prefix returns the number of keys at the beginning of a list that are the same as the first one.
 func prefix(keys []key, same func(a, b key) bool) int {
 	n := slices.IndexFunc(keys, func(k key) bool { return !same(keys[0], k) })
 	if n < 0 {
--- a/core/fleet/preempt.go
+++ b/core/fleet/preempt.go
@@ -25,11 +25,11 @@
 	// pass is the time of the pass in which searches searches were made.
 	pass     time.Duration
 	searches int
-	// hopeless has the sizes for which no room could be made, and hopelessSteps the steps with an
+	// unsatisfied has the sizes for which no room could be made, and unsatisfiedSteps the steps with an
 	// anti-affinity, of which that says nothing about others, until searchAgain.
-	hopeless      rejectedSizes
-	hopelessSteps map[*stepInfo]bool
-	searchAgain   time.Duration
+	unsatisfied      rejectedSizes
+	unsatisfiedSteps map[*stepInfo]bool
+	searchAgain      time.Duration
 	// lapses has the times at which workers are no longer cleared, in ascending order.
 	lapses []time.Duration
 	log    []Preemption
@@ -112,9 +112,9 @@
 	best := f.cheapestRoom(now, j, s, t.preempted.roomOn)
 	if best == nil {
 		if s.spec.AntiAffinity > 0 {
-			p.hopelessSteps[s] = true
+			p.unsatisfiedSteps[s] = true
 		} else {
-			p.hopeless.add(constraintsOf(j, s.spec), s.spec.Size)
+			p.unsatisfied.add(constraintsOf(j, s.spec), s.spec.Size)
 		}
 
 		return false
@@ -166,7 +166,7 @@
 // maySearch reports whether room may be sought for a task of a step now, and counts the search.
 func (p *preemption) maySearch(now time.Duration, c constraints, s *stepInfo) bool {
 	if now >= p.searchAgain {
-		p.hopeless, p.hopelessSteps = rejectedSizes{}, map[*stepInfo]bool{}
+		p.unsatisfied, p.unsatisfiedSteps = rejectedSizes{}, map[*stepInfo]bool{}
 		p.searchAgain = now + roomSearchDelay
 	}
 
@@ -174,7 +174,7 @@
 		p.pass, p.searches = now, 0
 	}
 
-	if p.searches >= maxRoomSearches || p.hopelessSteps[s] || p.hopeless.covers(c, s.spec.Size) {
+	if p.searches >= maxRoomSearches || p.unsatisfiedSteps[s] || p.unsatisfied.covers(c, s.spec.Size) {
 		return false
 	}
 
@@ -357,7 +357,7 @@
 	}
 
 	times := p.lapses[:min(1, len(p.lapses))]
-	if len(p.hopeless)+len(p.hopelessSteps) > 0 {
+	if len(p.unsatisfied)+len(p.unsatisfiedSteps) > 0 {
 		times = append(slices.Clone(times), p.searchAgain)
 	}
 
