--- a/core/backlog/load_test.go
+++ b/core/backlog/load_test.go
@@ -121,6 +121,19 @@
 	slow.Priority(2).Rate, free.Priority(2).Rate = 50_000, 50_000
 	free.FreeMilliCores = free.MilliCores
 
+	// Jobs that can only end after their objectives are not ahead of one that starts in time for its own,
+	// by 6.4 s from now.
+	withUseful := func(took time.Duration) *Load {
+		l := ahead("a", took)
+		l.Priority(2).AddWaiting(0, Job{
+			Account:     "a",
+			Deadline:    -second,
+			UsefulUntil: time.Hour,
+		}, 100_000*time.Hour.Milliseconds())
+
+		return l
+	}
+
 	filled := ahead("a", time.Hour)
 	filled.FreeMilliCores = filled.MilliCores
 	filled.Priority(2).AddKind(KindOf(&job.Step{
@@ -174,15 +187,23 @@
 			r.Spec.Steps[0].Requires, r.Spec.Steps[1].Requires = "x", "x"
 		}, Verdict{Admit: true}},
 		// Since the load was received, some of the work has been done.
-		"Aged": {ahead("a", limit+second), 1500 * time.Millisecond, nil, Verdict{Admit: true}},
-		"Old":  {ahead("a", time.Hour), MaxLoadAge + 1, nil, Verdict{Admit: true}},
+		"Aged":     {ahead("a", limit+second), 1500 * time.Millisecond, nil, Verdict{Admit: true}},
+		"LateWork": {withUseful(6 * second), 0, nil, Verdict{Admit: true}},
+		"LateWorkAfter": {withUseful(8 * second), 0, nil, Verdict{
+			RetryAfter: 2 * second,
+			Reason:     Overload,
+			Wait:       time.Hour + 8*second,
+			Limit:      limit,
+		}},
+		"LateWorkAged": {withUseful(7 * second), 700 * time.Millisecond, nil, Verdict{Admit: true}},
+		"Old":          {ahead("a", time.Hour), MaxLoadAge + 1, nil, Verdict{Admit: true}},
 		// The account of the job has nothing waiting, so that its turn comes next.
 		"OtherAccount": {ahead("b", time.Hour), 0, nil, Verdict{Admit: true}},
 		"MoreUrgent":   {ahead("a", time.Hour), 0, func(r *job.Record) { r.Priority = 0 }, Verdict{Admit: true}},
 		"Lasting":      {ahead("a", time.Hour), 0, func(r *job.Record) { r.Spec.Steps[0].LongRunning = true }, Verdict{Admit: true}},
 		"Repeated":     {ahead("a", time.Hour), 0, func(r *job.Record) { r.Spec.Repeat = 2 }, Verdict{Admit: true}},
 		// No load can be the cause of it.
-		"Hopeless": {ahead("a", time.Hour), 0, func(r *job.Record) { r.Stretch = 0; r.TargetLatency = 0 }, Verdict{Admit: true}},
+		"NeverUseful": {ahead("a", time.Hour), 0, func(r *job.Record) { r.Stretch = 0; r.TargetLatency = 0 }, Verdict{Admit: true}},
 		"TooLarge": {ahead("a", 0), 0, func(r *job.Record) { r.Spec.Steps[1].Size.MilliCores = 32_001 }, Verdict{
 			RetryAfter: MaxRetryAfter,
 			Reason:     TooLarge,
--- a/core/backlog/order_test.go
+++ b/core/backlog/order_test.go
@@ -254,6 +254,22 @@
 	}
 }
 
+// TestSharesBounded guards against memory that grows with the accounts that were ever seen, and checks that
+// tasks without an estimate take turns.
+func TestSharesBounded(t *testing.T) {
+	s := NewShares()
+
+	for i := range 10 * maxIdleAccounts {
+		// The service of an account has decayed when that of the next ones is recorded.
+		s.Add(time.Duration(i)*time.Second, Job{Account: fmt.Sprint(i)}, 0)
+	}
+
+	assert.Assert(t, len(s.accounts) <= maxIdleAccounts, "%d", len(s.accounts))
+
+	s.Add(time.Hour, Job{Account: "a"}, 0)
+	assert.Equal(t, s.Received(time.Hour, "a"), 1.0)
+}
+
 // TestInaccurateEstimates replays a burst of filling jobs on workers that are asked for a tenth more
 // than they can do, with run times that differ by up to 90% from their estimates. Jobs of which half
 // was done were set aside when, by their estimates, they could no longer end in time.
