Test what room is counted, who is moved first, and where serving tasks go

Trials with altered code passed the tests of core/fleet although runs that are being stopped did not count as room to come, more runs were stopped than needed, paced runs were not moved in the order of their jobs, or serving tasks were placed without regard to what they block. Each of these now fails a test.

--- a/core/fleet/colocation_test.go
+++ b/core/fleet/colocation_test.go
@@ -150,6 +150,52 @@
 	}
 }
 
+// TestServingPlacedByEffects guards against a serving task that is placed beside tasks of an image that
+// blocks other filling work than its own, although it would block nothing new elsewhere.
+func TestServingPlacedByEffects(t *testing.T) {
+	for colocation, want := range map[bool]string{
+		true:  "n1",
+		false: "n2",
+	} {
+		f := newColocationFleet(2)
+		f.Colocation = colocation
+
+		for node, image := range map[string]string{
+			"n1": "web",
+			"n2": "search",
+		} {
+			for _, w := range f.sortedWorkers {
+				w.ready = w.node == node
+			}
+
+			f.Add(0, 0, record("00000000000000"+node, servingImage(map[string]int{
+				"n1": 3,
+				"n2": 2,
+			}[node], image)))
+			f.Schedule(0, time.Time{})
+		}
+
+		for _, w := range f.sortedWorkers {
+			w.ready = true
+		}
+
+		// "web" is slowed by the same filling image as "api".
+		f.Interference.Put("n2", map[interference.Pair]interference.Estimate{{
+			Filling: "hot",
+			Serving: "web",
+		}: {
+			Factor: 10,
+			Weight: 1,
+		}})
+
+		f.Add(0, 0, record(jobD, fillingImage(20, "hot")))
+		f.Schedule(time.Second, time.Time{})
+		f.Add(time.Second, 0, record(jobA, servingImage(1, "api")))
+		f.Schedule(2*time.Second, time.Time{})
+		assert.DeepEqual(t, runsOf(f, jobA), map[string]int{want: 1})
+	}
+}
+
 // TestServingTaskMoved checks that a serving task that alone keeps filling work from its worker is moved
 // beside others that do the same, but not before it has served for a while, nor while another task of
 // its step is not at work. The work waited for as long as the serving task ran.
@@ -410,6 +456,43 @@
 	return t.worker.node
 }
 
+// TestPacedRunsInOrder guards against a run of a later job that is moved to the only free place before one
+// of an earlier job.
+func TestPacedRunsInOrder(t *testing.T) {
+	// The IDs of the jobs are in the other order.
+	f := newColocationFleet(2)
+	f.Add(0, 0, record(jobB, servingImage(5, "api")))
+
+	for _, w := range f.sortedWorkers {
+		w.ready = w.node == "n1"
+	}
+
+	f.Schedule(0, time.Time{})
+
+	pace := map[job.TaskID]int{}
+
+	for i, id := range []string{jobD, jobC} {
+		s := fillingImage(1, "any")
+		s.Size.MilliCores = 20_000
+		f.Add(time.Duration(i)*time.Millisecond, 0, record(id, s))
+
+		j, s0 := f.jobs[id], &f.jobs[id].steps[0]
+		f.assign(0, j, s0, &s0.tasks[0], f.workers["n1"], j.taskID(0, 0), 1)
+
+		pace[j.taskID(0, 0)] = 0
+	}
+
+	for _, w := range f.sortedWorkers {
+		w.ready = true
+	}
+
+	reportRuns(f, time.Second, 140, pace)
+	reportRuns(f, 2*time.Second, 140, pace)
+
+	assert.Equal(t, stops(f.Schedule(2*time.Second, time.Time{})), 1)
+	assert.Equal(t, f.Moves()[0].Task, job.TaskID{Job: jobD})
+}
+
 // TestPacedRunsWithoutRoom guards against paced runs that no other worker suits and that use up all searches
 // of each pass, so that a run of a later job stays although a worker has room for it.
 func TestPacedRunsWithoutRoom(t *testing.T) {
--- a/core/fleet/preempt_test.go
+++ b/core/fleet/preempt_test.go
@@ -122,6 +122,9 @@
 	small := fillingStep(4)
 	small.Size.MemoryMB = 2500
 
+	large, tiny := fillingStep(1), fillingStep(1)
+	large.Size.MemoryMB, tiny.Size.MemoryMB = 8000, 1500
+
 	labelled := urgentStep(1)
 	labelled.Requires = "none"
 
@@ -164,6 +167,13 @@
 		"Label": {1, []job.Step{fillingStep(2)}, labelled, map[string][]string{}},
 		// A filling task doesn't take the room of others.
 		"FillingTask": {1, []job.Step{fillingStep(2)}, fillingStep(1), map[string][]string{}},
+		// The first run, with the least work lost, is not needed beside the second one.
+		"AsFewAsNeeded": {
+			1,
+			[]job.Step{withoutCheckpoints(large), withoutCheckpoints(tiny)},
+			urgentStep(1),
+			map[string][]string{"n1": {"0000000000000001"}},
+		},
 		// One worker for each task.
 		"TwoTasks": {3, []job.Step{fillingStep(6)}, urgentStep(2), map[string][]string{
 			"n1": {"0000000000000001"},
@@ -490,3 +500,24 @@
 	// Those of the list, which grows.
 	assert.Assert(t, allocations < 20, "%g allocations", allocations)
 }
+
+// TestRoomToCome guards against runs that are stopped for an urgent task although another run, which is
+// already being stopped for a move, leaves it room.
+func TestRoomToCome(t *testing.T) {
+	for stopping, stopped := range map[bool]int{
+		true:  0,
+		false: 1,
+	} {
+		f := preemptingFleet(t, 1, fillingStep(2))
+
+		now := 5 * time.Second
+		if stopping {
+			f.workers["n1"].runs[job.TaskID{Job: "0000000000000001"}].stopAwaitedUntil = now + stopRepeatDelay
+		}
+
+		assert.Assert(t, f.Add(now, 0, record(urgentID, urgentStep(1))))
+		assert.Equal(t, stops(f.Schedule(now, time.Time{})), stopped)
+		// In either case, the room is kept for it.
+		assert.Assert(t, f.workers["n1"].clearing.active(now))
+	}
+}
