--- a/coordinator/absences.go
+++ b/coordinator/absences.go
@@ -20,8 +20,11 @@
 	absentKey = "absent"
 	// absencePeriod is the time between two checks for absent sidecars.
 	absencePeriod = time.Second
-	// maxAbsences bounds the row, to about 30 bytes each.
+	// maxAbsences bounds the sidecars in the row, which is bounded by maxAbsenceBytes as well.
 	maxAbsences = 500
+	// returnTime is the time that a sidecar which is back has to open another session and report, until it
+	// is listed as absent again.
+	returnTime = fleet.MaxLeaseTime
 )
 
 // loadAbsences reads the row of absent sidecars. It is called once this leader's term is
@@ -42,6 +45,9 @@
 		var absent []string
 		if err := json.Unmarshal(r.Value, &absent); err != nil {
 			l.c.log.Error("AbsencesUnreadable", zap.Int64("Row", r.Version), jsonlog.Error(err))
+
+			// A part of it may have been decoded.
+			absent = nil
 		}
 
 		absences = fleet.NewAbsences(absent, r.Version)
@@ -105,7 +111,7 @@
 
 	for _, n := range l.nodes {
 		if n.session != nil && n.held && !l.absences.MayList(n.node.Name) {
-			n.returning = true
+			n.returningUntil = l.c.now() + returnTime
 			n.session.Close()
 		}
 	}
@@ -113,15 +119,33 @@
 	return nil
 }
 
-// absentNodes returns the names of the absent sidecars that have no session. The caller holds l.mu.
+// maxAbsenceBytes is the largest size of the row. The store may count a value as it is sent, in base64.
+func (l *leader) maxAbsenceBytes() int { return l.c.settings.Store.RowLimit() / 4 * 3 }
+
+// absentNodes returns the names of the absent sidecars that have no session, as many as fit into the row.
+// The caller holds l.mu.
 func (l *leader) absentNodes() []string {
 	var absent []string
 
-	for _, name := range l.fleet.Absent(l.c.now()) {
+	now := l.c.now()
+	// The brackets of the list.
+	size := 2
+
+	for _, name := range l.fleet.Absent(now) {
 		n := l.nodes[name]
-		if n != nil && n.session == nil && !n.returning && len(absent) < maxAbsences {
-			absent = append(absent, name)
+		if n == nil || n.session != nil || now < n.returningUntil {
+			continue
 		}
+
+		encoded, err := json.Marshal(name)
+		// One more for the comma.
+		size += len(encoded) + 1
+
+		if err != nil || len(absent) == maxAbsences || size > l.maxAbsenceBytes() {
+			break
+		}
+
+		absent = append(absent, name)
 	}
 
 	return absent
--- a/coordinator/absences_test.go
+++ b/coordinator/absences_test.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"trefoildeck/core/job"
 	"trefoildeck/io/peer"
 	"trefoildeck/io/peer/peerpb"
+	"trefoildeck/io/rows"
 	"trefoildeck/standin/emulator"
 
 	"gotest.tools/v3/assert"
@@ -78,6 +80,31 @@
 	}
 }
 
+// TestAbsencesOfLongNames guards against a row that is larger than the store accepts. All sidecars in it
+// were kept waiting for good when they came back, since the row may list them until it is written.
+func TestAbsencesOfLongNames(t *testing.T) {
+	s := emulator.NewRowStore()
+	l := newTestLeader(t, s)
+
+	for i := range maxAbsences {
+		name := fmt.Sprintf("%0200d", i)
+		l.nodes[name] = &nodeLink{node: peer.Node{Name: name}}
+		l.fleet.Report(0, name, fleet.Report{Full: true})
+		l.fleet.Disconnected(name)
+	}
+
+	l.c.now = func() time.Duration { return time.Second }
+	l.lease.record.Expiry += time.Second
+
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.NilError(t, l.loadAbsences(t.Context()))
+
+	// The store may count a value as it is sent, in base64.
+	listed := len(l.absences.Listed())
+	assert.Assert(t, listed*203*4/3 <= l.c.settings.Store.RowLimit(), "%d names", listed)
+	assert.Assert(t, listed >= 200, "%d names", listed)
+}
+
 // TestAbsentNodeReturns checks that a sidecar that the stored row lists as absent is not used
 // before the row has been changed. The next leader would not wait for its report, and would start
 // its tasks a second time.
@@ -120,3 +147,88 @@
 
 	assert.Assert(t, !l.absences.MayList(n.Name))
 }
+
+// TestAbsentNodeLeavesAgain guards against a sidecar that comes back, leaves before its first report, and
+// is never listed as absent again: the next leader waited for it.
+func TestAbsentNodeLeavesAgain(t *testing.T) {
+	l := newTestLeader(t, emulator.NewRowStore())
+	sessions, frames := make(chan *peer.Session, 2), make(chan *peerpb.Frame, 1)
+	n := acceptNode(t, sessions, frames)
+
+	_, err := l.commitAbsences(t.Context(), []string{n.Name}, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, l.loadAbsences(t.Context()))
+
+	now := l.c.now()
+	l.fleet.AwaitReports(now, []string{n.Name}, l.absences.Listed())
+
+	row, err := n.Row()
+	assert.NilError(t, err)
+
+	_, ok := l.applyNodeRow(t.Context(), row)
+	assert.Assert(t, ok)
+
+	<-l.absenceEnded
+
+	l.mu.Lock()
+	held := l.nodes[n.Name].session
+	l.mu.Unlock()
+
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.Equal(t, len(l.absences.Listed()), 0)
+
+	session := func() *peer.Session {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+
+		return l.nodes[n.Name].session
+	}
+
+	// The first session is closed, and so is the next one, without a report.
+	for s := session(); s == nil || s == held; s = session() {
+		time.Sleep(time.Millisecond)
+	}
+
+	l.mu.Lock()
+	l.nodes[n.Name].cancel()
+	l.mu.Unlock()
+
+	for session() != nil {
+		time.Sleep(time.Millisecond)
+	}
+
+	// Its new session may be on its way at first.
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.Equal(t, len(l.absences.Listed()), 0)
+
+	l.mu.Lock()
+	later := l.c.now() + fleet.MaxLeaseTime
+	l.c.now = func() time.Duration { return later }
+	l.lease.record.Expiry += fleet.MaxLeaseTime
+	l.mu.Unlock()
+
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.Equal(t, len(l.absences.Listed()), 1)
+}
+
+// TestUnreadableAbsences guards against nodes that are not waited for because of a row that can be decoded
+// in part.
+func TestUnreadableAbsences(t *testing.T) {
+	s := emulator.NewRowStore()
+	l := newTestLeader(t, s)
+
+	stamp, err := l.c.store.Commit(t.Context(), rows.Transaction{
+		Part: leadPart,
+		Set: []rows.Row{{
+			Table: leadTable,
+			Key:   absentKey,
+			Value: []byte(`["side-2",2]`),
+		}},
+	})
+	assert.NilError(t, err)
+	assert.NilError(t, l.loadAbsences(t.Context()))
+	assert.Equal(t, len(l.absences.Listed()), 0)
+
+	// The next write replaces it.
+	assert.Equal(t, l.absences.Version, stamp.Version)
+}
--- a/core/fleet/colocation.go
+++ b/core/fleet/colocation.go
@@ -26,6 +26,9 @@
 	maxNewlyBlocked = 0.15
 	// servingMoveShare is the part of the workers from which serving tasks may be moved at a time.
 	servingMoveShare = 5
+	// maxServingSearches bounds the searches of an update for workers that serving tasks are moved to.
+	// Each goes through all workers.
+	maxServingSearches = 32
 	// minServingRest is the least time for which a serving task stays on a worker. It is out of
 	// service for about 1.5 s with each move.
 	minServingRest = 5 * time.Second
@@ -42,6 +45,13 @@
 	// workers has the workers in the order of that list.
 	workers []*workerInfo
 	moves   []ServingMove
+	// searches is the number of searches for workers that serving tasks are moved to in the last update.
+	// searchFrom is the number of candidates that the next update leaves out, since their turn was in
+	// the updates before.
+	searches, searchFrom int
+	// unsettled has the steps of which not all tasks are at work, as far as the last update looked at
+	// them: a step may have a task on each worker.
+	unsettled map[*stepInfo]bool
 	// destinations has the workers that hold room for runs that are stopped to be moved there.
 	destinations map[job.TaskID]destination
 }
@@ -49,7 +59,7 @@
 // destination is room that is held on a worker.
 type destination struct {
 	worker *workerInfo
-	step   *job.Step
+	step   *stepInfo
 	until  time.Duration
 }
 
@@ -70,8 +80,9 @@
 	return moves
 }
 
-// updateColocation updates the planner, then moves serving tasks.
-func (f *Fleet) updateColocation(now time.Duration) {
+// updateColocation updates the planner, then moves serving tasks unless blocked is set: tasks of loaded
+// jobs that are stopped then can't start again yet.
+func (f *Fleet) updateColocation(now time.Duration, blocked bool) {
 	f.expireDestinations(now)
 
 	c := &f.colocation
@@ -105,7 +116,10 @@
 	}
 
 	c.planner.Update(now, list, workers, f.effect)
-	f.moveServing(now)
+
+	if !blocked {
+		f.moveServing(now)
+	}
 }
 
 // waitingDemands returns the filling work that waits for a worker, by image.
@@ -221,16 +235,27 @@
 	under := 0
 
 	for _, d := range c.destinations {
-		if d.step.TargetLatency > 0 {
+		if d.step.spec.TargetLatency > 0 {
 			under++
 		}
 	}
 
-	for _, m := range c.planner.Candidates() {
+	candidates := c.planner.Candidates()
+	from := min(c.searchFrom, len(candidates))
+	c.searches, c.searchFrom = 0, 0
+	c.unsettled = map[*stepInfo]bool{}
+
+	for i, m := range candidates[from:] {
 		if under >= max(1, len(f.sortedWorkers)/servingMoveShare) {
 			return
 		}
 
+		if c.searches == maxServingSearches {
+			c.searchFrom = from + i
+
+			return
+		}
+
 		w := c.workers[m.Worker]
 		if f.moveOneServing(now, w, m) {
 			under++
@@ -250,6 +275,8 @@
 			continue
 		}
 
+		f.colocation.searches++
+
 		to := f.servingDestination(now, j, s, w)
 		if to == nil {
 			return false
@@ -277,17 +304,30 @@
 		return false
 	}
 
-	if now < r.stopAwaitedUntil || now < r.started+minServingRest {
+	if now < r.stopAwaitedUntil || now < r.started+minServingRest || f.colocation.unsettled[s] {
 		return false
 	}
 
+	if !f.allAtWork(now, j, s) {
+		f.colocation.unsettled[s] = true
+
+		return false
+	}
+
+	return true
+}
+
+// allAtWork reports whether all tasks of a step serve, as far as is known.
+func (f *Fleet) allAtWork(now time.Duration, j *jobInfo, s *stepInfo) bool {
+	step := f.stepIndex(j, s)
+
 	for k := range s.tasks {
 		o := &s.tasks[k]
-		if o.phase != active {
+		if o.phase != active || !o.worker.connected {
 			return false
 		}
 
-		if other := o.worker.runs[j.taskID(f.stepIndex(j, s), k)]; other == nil || other.progressPercent < 100 || now < other.stopAwaitedUntil {
+		if other := o.worker.runs[j.taskID(step, k)]; other == nil || other.progressPercent < 100 || now < other.stopAwaitedUntil {
 			return false
 		}
 	}
@@ -335,9 +375,10 @@
 
 	f.colocation.destinations[id] = destination{
 		worker: to,
-		step:   s.spec,
+		step:   s,
 		until:  now + destinationTime,
 	}
+	s.held++
 	to.addUse(s.spec, 1)
 }
 
@@ -350,7 +391,8 @@
 	}
 
 	delete(f.colocation.destinations, id)
-	d.worker.addUse(d.step, -1)
+	d.step.held--
+	d.worker.addUse(d.step.spec, -1)
 
 	return d.worker
 }
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -64,6 +64,8 @@
 	reserved, reservedLate bool
 	// rackSince is when the first task began to wait for the rack of its data, or 0.
 	rackSince time.Duration
+	// held is the number of tasks for which room is held on a worker.
+	held int
 }
 
 func (s *stepInfo) complete() bool { return s.done == len(s.tasks) }
--- a/core/fleet/preempt_test.go
+++ b/core/fleet/preempt_test.go
@@ -122,6 +122,9 @@
 	small := fillingStep(4)
 	small.Size.MemoryMB = 2500
 
+	large, tiny := fillingStep(1), fillingStep(1)
+	large.Size.MemoryMB, tiny.Size.MemoryMB = 8000, 1500
+
 	labelled := urgentStep(1)
 	labelled.Requires = "none"
 
@@ -164,6 +167,13 @@
 		"Label": {1, []job.Step{fillingStep(2)}, labelled, map[string][]string{}},
 		// A filling task doesn't take the room of others.
 		"FillingTask": {1, []job.Step{fillingStep(2)}, fillingStep(1), map[string][]string{}},
+		// The first run, with the least work lost, is not needed beside the second one.
+		"AsFewAsNeeded": {
+			1,
+			[]job.Step{withoutCheckpoints(large), withoutCheckpoints(tiny)},
+			urgentStep(1),
+			map[string][]string{"n1": {"0000000000000001"}},
+		},
 		// One worker for each task.
 		"TwoTasks": {3, []job.Step{fillingStep(6)}, urgentStep(2), map[string][]string{
 			"n1": {"0000000000000001"},
@@ -390,3 +400,124 @@
 	assert.Equal(t, f.preemption.searches, 0)
 	assert.Assert(t, f.NextWake(now+time.Millisecond) <= now+roomSearchDelay)
 }
+
+// TestRoomBesideAntiAffinity guards against a task for which no room can be made only because of its
+// anti-affinity, and which keeps the others of its size from having room made.
+func TestRoomBesideAntiAffinity(t *testing.T) {
+	f := preemptingFleet(t, 1, fillingStep(1))
+
+	// Its first task runs, and no other may on that worker.
+	apart := urgentStep(2)
+	apart.AntiAffinity = 1
+
+	now := 5 * time.Second
+	assert.Assert(t, f.Add(now, 0, record(jobA, apart)))
+	assert.Assert(t, f.Add(now, 0, record(urgentID, urgentStep(1))))
+	assert.Equal(t, startedOf(f.Schedule(now, time.Time{}), jobA), 1)
+	assert.Equal(t, f.open[0].record.ID, jobA)
+	assert.Equal(t, f.preemption.searches, 2)
+
+	preemptions := f.Preemptions()
+	assert.Equal(t, len(preemptions), 1)
+	assert.Equal(t, preemptions[0].For, urgentID)
+
+	// Nor is room sought for it in each pass.
+	f.Schedule(now+time.Millisecond, time.Time{})
+	assert.Equal(t, f.preemption.searches, 0)
+	assert.Assert(t, f.NextWake(now+time.Millisecond) <= now+roomSearchDelay)
+	f.Schedule(now+roomSearchDelay, time.Time{})
+	assert.Equal(t, f.preemption.searches, 1)
+}
+
+// TestNoRoomForRackWait guards against runs that are stopped for a task that has room and only waits for
+// the rack of its data.
+func TestNoRoomForRackWait(t *testing.T) {
+	f := newRackFleet(true)
+	f.Preemption = true
+
+	// A worker without room, which is outside the rack as well.
+	f.workers["n2"].ready = false
+	f.Report(0, "n0", described("n0"))
+	assert.Assert(t, f.Add(0, 0, lessUrgent(otherID, fillingStep(2))))
+	f.Schedule(0, time.Time{})
+	assert.Equal(t, runsOf(f, otherID)["n0"], 2)
+
+	f.workers["n2"].ready = true
+
+	now := 600 * time.Millisecond
+	s := urgentStep(1)
+	s.DataRack = rackLabel
+	assert.Assert(t, f.Add(now, 0, record(urgentID, s)))
+
+	o := f.Schedule(now, time.Time{})
+	assert.Equal(t, startedOf(o, urgentID), 0)
+	assert.Equal(t, stops(o), 0)
+	assert.Assert(t, f.workers["n0"].clearing.task == nil)
+}
+
+// TestNoRoomOnReservedWorker guards against runs that are stopped for a task where the room is then kept
+// for the reservation of another task, which comes first.
+func TestNoRoomOnReservedWorker(t *testing.T) {
+	f := New(1)
+	f.Preemption, f.LookAhead = true, true
+	f.Report(0, "n1", described("n1"))
+
+	urgent, less := sized(1, 2, 2*time.Second), sized(1, 2, time.Minute)
+	less.Checkpointing = true
+
+	assert.Assert(t, f.Add(0, 0, record(jobA, urgent)))
+	assert.Assert(t, f.Add(0, 0, lessUrgent(otherID, less)))
+	f.Schedule(0, time.Time{})
+
+	// No room can be made for the first task before that of jobA ends. The other one would fit at once,
+	// but would delay it.
+	first, second := sized(1, 3, time.Second), sized(1, 2, time.Minute)
+	assert.Assert(t, f.Add(0, time.Second, record(jobB, first)))
+	assert.Assert(t, f.Add(0, 0, record(urgentID, second)))
+
+	assert.Equal(t, stops(f.Schedule(time.Second, time.Time{})), 0)
+	assert.Equal(t, len(f.Reservations()), 1)
+
+	// A task that comes before that of the reservation is not bound by it.
+	assert.Assert(t, f.Add(time.Second, 2300*time.Millisecond, record(jobC, sized(1, 2, time.Second))))
+	assert.Equal(t, stops(f.Schedule(1500*time.Millisecond, time.Time{})), 1)
+	assert.Equal(t, f.Preemptions()[0].For, jobC)
+}
+
+// TestRunsComparedWithoutText guards against text that is formatted for each pair of runs that are sorted,
+// which took more than half of the time of a search for room.
+func TestRunsComparedWithoutText(t *testing.T) {
+	small := withoutCheckpoints(fillingStep(50))
+	small.Size.MemoryMB, small.Size.MilliCores = 200, 50
+
+	f := preemptingFleet(t, 1, small)
+	assert.Assert(t, f.Add(0, 0, record(urgentID, urgentStep(1))))
+
+	j, w := f.jobs[urgentID], f.workers["n1"]
+	assert.Equal(t, len(w.runs), 50)
+
+	allocations := testing.AllocsPerRun(10, func() { f.victimsOn(5*time.Second, j, w) })
+	// Those of the list, which grows.
+	assert.Assert(t, allocations < 20, "%g allocations", allocations)
+}
+
+// TestRoomToCome guards against runs that are stopped for an urgent task although another run, which is
+// already being stopped for a move, leaves it room.
+func TestRoomToCome(t *testing.T) {
+	for stopping, stopped := range map[bool]int{
+		true:  0,
+		false: 1,
+	} {
+		f := preemptingFleet(t, 1, fillingStep(2))
+
+		now := 5 * time.Second
+		if stopping {
+			f.workers["n1"].runs[job.TaskID{Job: "0000000000000001"}].stopAwaitedUntil = now + stopRepeatDelay
+		}
+
+		assert.Assert(t, f.Add(now, 0, record(urgentID, urgentStep(1))))
+		assert.Equal(t, stops(f.Schedule(now, time.Time{})), stopped)
+		// In either case, the room is kept for it.
+		assert.Assert(t, f.workers["n1"].clearing.active(now))
+	}
+}
