Test when and with which rows checkpoints are written

Trials with altered code passed the tests although a row was written before its time, or twice for one checkpoint, without the first row of its job, or only with another event. Each of these now fails a test. The loss of all machines is no longer called that of a world.

--- a/core/fleet/checkpoints_test.go
+++ b/core/fleet/checkpoints_test.go
@@ -96,9 +96,57 @@
 	}
 }
 
-// TestCheckpointsOfLostWorld guards against a task that a new leader starts from the beginning although
+// TestCheckpointAfterEnd guards against a row that is written too early, and again and again, since it was
+// written with the end of another task after it began to lack a checkpoint. It also checks that the next
+// pass for checkpoints needs no event.
+func TestCheckpointAfterEnd(t *testing.T) {
+	f := checkpointingFleet(t, 2)
+	reportCheckpoints(f, time.Second, 1)
+
+	e := end("n1", 1, jobA, 1, gate.Done).End
+	e.Task.Index = 1
+	f.RecordEnd(1500*time.Millisecond, "n1", e)
+
+	stored := storeAll(t, f, nil)
+	assert.Equal(t, storedCheckpoint(t, stored, 2), "0 at 1s")
+
+	reportCheckpoints(f, 2*time.Second, 1)
+	f.Schedule(3*time.Second, time.Time{})
+	assert.Equal(t, f.CheckpointWrites().Rows, 0)
+
+	wake := f.NextWake(3 * time.Second)
+	assert.Assert(t, wake >= 4*time.Second && wake <= 4*time.Second+checkpointPassPeriod, "%s", wake)
+
+	f.Schedule(wake, time.Time{})
+	assert.Equal(t, f.CheckpointWrites().Rows, 1)
+	assert.Equal(t, storedCheckpoint(t, storeAll(t, f, stored), 2), "0 at 2s")
+	assert.Equal(t, f.NextWake(wake), time.Duration(0))
+}
+
+// TestCheckpointBesideHead guards against a job that callers see as queued, since only a later row of its
+// progress was written for a checkpoint, and not the first one.
+func TestCheckpointBesideHead(t *testing.T) {
+	f := checkpointingFleet(t, segmentTasks+1)
+	f.Report(time.Second, "n1", Report{Runs: []gate.Run{{
+		Task: job.TaskID{
+			Job:   jobA,
+			Index: segmentTasks,
+		},
+		Attempt:    1,
+		Checkpoint: "saved",
+		Confirmed:  true,
+		OrderKnown: true,
+	}}})
+	f.Schedule(4*time.Second, time.Time{})
+
+	stored := storeAll(t, f, nil)
+	assert.Equal(t, len(stored), 2)
+	assert.Assert(t, slices.ContainsFunc(stored, func(r StoredRow) bool { return r.Key == jobA }))
+}
+
+// TestCheckpointsOfLostMachines guards against a task that a new leader starts from the beginning although
 // its checkpoint is stored, and against one that counts as failed because of it.
-func TestCheckpointsOfLostWorld(t *testing.T) {
+func TestCheckpointsOfLostMachines(t *testing.T) {
 	f := checkpointingFleet(t, 2)
 	reportCheckpoints(f, time.Second, 2)
 	f.Schedule(3*time.Second, time.Time{})
