Let jobs take turns when checkpoints are stored

The rows that lack checkpoints formed one queue for all jobs. A job of 10,000 tasks with long checkpoints delayed those of other jobs by up to 100 s. Now each job has its queue, and the jobs take turns.

TestCheckpointTurns failed before: the row of a job behind 10,000 rows was not written within a second.

--- a/core/fleet/checkpoints.go
+++ b/core/fleet/checkpoints.go
@@ -16,18 +16,19 @@
 	checkpointPassPeriod = 100 * time.Millisecond
 )
 
-// checkpointRows has the rows of progress that lack checkpoints of running tasks.
+// checkpointRows has the jobs with rows of progress that lack checkpoints of running tasks.
 type checkpointRows struct {
-	// queue has the rows in the order in which they began to lack one. A row that was written
-	// since then stays in it until its turn.
-	queue []checkpointRow
+	// jobs has these jobs in the order of their turns: a job with many rows does not delay the others.
+	jobs []*jobInfo
+	// next is when the next row may be written, or 0 if there is none.
+	next time.Duration
 	// writableAt is the earliest time of the next row, checkpointRowBurst rows ago.
 	writableAt time.Duration
 	writes     CheckpointWrites
 }
 
-type checkpointRow struct {
-	job   *jobInfo
+// unsavedRow is a row that lacks a checkpoint since a time. It may have been written meanwhile.
+type unsavedRow struct {
 	name  rowName
 	since time.Duration
 }
@@ -72,68 +73,108 @@
 		return
 	}
 
+	if len(j.unsavedRows) == 0 {
+		f.checkpoints.jobs = append(f.checkpoints.jobs, j)
+	}
+
 	j.unsaved[n] = now
-	f.checkpoints.queue = append(f.checkpoints.queue, checkpointRow{
-		job:   j,
+	j.unsavedRows = append(j.unsavedRows, unsavedRow{
 		name:  n,
 		since: now,
 	})
+	f.checkpoints.wakeAt(now + f.CheckpointInterval)
+}
+
+// wakeAt records that a row may be written at a time.
+func (c *checkpointRows) wakeAt(at time.Duration) {
+	if c.next == 0 || at < c.next {
+		c.next = at
+	}
 }
 
-// current reports whether the row still lacks the checkpoint for which it was queued.
-func (r checkpointRow) current() bool {
-	since, ok := r.job.unsaved[r.name]
+// oldestUnsaved returns the row that has lacked a checkpoint for longest, and drops those before it that
+// were written meanwhile.
+func (j *jobInfo) oldestUnsaved() (unsavedRow, bool) {
+	for len(j.unsavedRows) > 0 && !j.state.Final() {
+		r := j.unsavedRows[0]
+		if since, ok := j.unsaved[r.name]; ok && since == r.since {
+			return r, true
+		}
 
-	return ok && since == r.since && !r.job.state.Final()
+		j.unsavedRows = j.unsavedRows[1:]
+	}
+
+	return unsavedRow{}, false
 }
 
 // storeCheckpoints marks the rows as to be written that have lacked a checkpoint for
 // CheckpointInterval. Their number is bounded over time, whatever the number of running tasks.
 func (f *Fleet) storeCheckpoints(now time.Duration) {
 	c := &f.checkpoints
+	if now < c.next {
+		return
+	}
 
-	for len(c.queue) > 0 {
-		r := c.queue[0]
+	c.next = 0
 
-		if r.current() {
-			if now < f.checkpointsDue() {
-				return
-			}
+	// waiting is the number of jobs in a row without a row that may be written.
+	for waiting := 0; waiting < len(c.jobs); {
+		j := c.jobs[0]
+		c.jobs = c.jobs[1:]
 
-			c.writableAt = max(c.writableAt, now-checkpointRowBurst*checkpointRowPeriod) + checkpointRowPeriod
-			c.writes.Rows++
-			c.writes.Oldest = max(c.writes.Oldest, now-r.since)
-			f.laterChanged[r.job.record.ID] = r.job
-			r.job.dirty[r.name] = true
+		r, ok := j.oldestUnsaved()
+		if !ok {
+			j.unsavedRows = nil
 
-			if !r.job.stored[head] {
-				r.job.dirty[head] = true
-			}
+			continue
+		}
 
-			delete(r.job.unsaved, r.name)
+		if now < c.writableAt {
+			// It is the turn of this job once a row may be written.
+			c.jobs = append([]*jobInfo{j}, c.jobs...)
+			c.wakeAt(c.writableAt)
+
+			return
+		}
+
+		c.jobs = append(c.jobs, j)
+
+		if due := r.since + f.CheckpointInterval; now < due {
+			c.wakeAt(due)
+
+			waiting++
+
+			continue
 		}
 
-		c.queue = c.queue[1:]
+		f.storeUnsaved(now, j, r)
+
+		waiting = 0
 	}
 }
 
-// checkpointsDue returns the time at which the first row of the queue may be written, or 0 if the queue
-// is empty.
-func (f *Fleet) checkpointsDue() time.Duration {
+// storeUnsaved marks a row as to be written.
+func (f *Fleet) storeUnsaved(now time.Duration, j *jobInfo, r unsavedRow) {
 	c := &f.checkpoints
-	if len(c.queue) == 0 {
-		return 0
+	c.writableAt = max(c.writableAt, now-checkpointRowBurst*checkpointRowPeriod) + checkpointRowPeriod
+	c.writes.Rows++
+	c.writes.Oldest = max(c.writes.Oldest, now-r.since)
+
+	delete(j.unsaved, r.name)
+	j.dirty[r.name] = true
+
+	if !j.stored[head] {
+		j.dirty[head] = true
 	}
 
-	return max(c.queue[0].since+f.CheckpointInterval, c.writableAt)
+	f.laterChanged[j.record.ID] = j
 }
 
 // nextCheckpointPass returns the time of the next pass that checkpoints require, or 0 if none does.
 func (f *Fleet) nextCheckpointPass() time.Duration {
-	due := f.checkpointsDue()
-	if due == 0 {
+	if f.checkpoints.next == 0 {
 		return 0
 	}
 
-	return due.Truncate(checkpointPassPeriod) + checkpointPassPeriod
+	return f.checkpoints.next.Truncate(checkpointPassPeriod) + checkpointPassPeriod
 }
--- a/core/fleet/checkpoints_test.go
+++ b/core/fleet/checkpoints_test.go
@@ -193,3 +193,36 @@
 	assert.Assert(t, total <= 9*100+checkpointRowBurst+1, "%d rows", total)
 	assert.Assert(t, total >= 9*100-checkpointRowBurst, "%d rows", total)
 }
+
+// TestCheckpointTurns guards against a job at the protocol's limits that delays the checkpoints of the
+// others until all of its own are stored.
+func TestCheckpointTurns(t *testing.T) {
+	const count = 10_000
+
+	f := checkpointingFleet(t, count)
+	f.RowBytes = 1 << 10
+
+	for i := range count {
+		f.jobs[jobA].steps[0].tasks[i].noteRow = true
+	}
+
+	reportCheckpoints(f, time.Second, count)
+
+	f.Add(time.Second, 0, record(jobB, step(1)))
+	f.Schedule(time.Second, time.Time{})
+	f.Report(1100*time.Millisecond, "n1", Report{Runs: []gate.Run{{
+		Task:       job.TaskID{Job: jobB},
+		Attempt:    1,
+		Checkpoint: "saved",
+		Confirmed:  true,
+		OrderKnown: true,
+	}}})
+
+	for now := 3 * time.Second; now <= 4*time.Second; now += 100 * time.Millisecond {
+		f.Schedule(now, time.Time{})
+	}
+
+	_, unsaved := f.jobs[jobB].unsaved[rowName{}]
+	assert.Assert(t, !unsaved)
+	assert.Assert(t, len(f.jobs[jobA].unsaved) > count/2)
+}
--- a/core/fleet/jobs.go
+++ b/core/fleet/jobs.go
@@ -99,8 +99,10 @@
 	// dirty has the rows of the job's progress that are to be written or removed, and stored
 	// those that are, or may be, in the store.
 	dirty, stored map[rowName]bool
-	// unsaved has the rows that lack a checkpoint of a running task, and since when.
-	unsaved map[rowName]time.Duration
+	// unsaved has the rows that lack a checkpoint of a running task, and since when. unsavedRows has
+	// them in the order of these times.
+	unsaved     map[rowName]time.Duration
+	unsavedRows []unsavedRow
 }
 
 func newJob(r job.Record, deadline time.Duration) *jobInfo {
