--- a/core/fleet/checkpoints.go
+++ b/core/fleet/checkpoints.go
@@ -27,7 +27,7 @@
 	writes     CheckpointWrites
 }
 
-// unsavedRow is a row that lacks a checkpoint since a time. It may have been written meanwhile.
+// unsavedRow is a row that has lacked a checkpoint since a time, unless it was written meanwhile.
 type unsavedRow struct {
 	name  rowName
 	since time.Duration
@@ -117,27 +117,26 @@
 
 	c.next = 0
 
-	// waiting is the number of jobs in a row without a row that may be written.
+	// waiting counts the consecutive jobs of which no row is due.
 	for waiting := 0; waiting < len(c.jobs); {
 		j := c.jobs[0]
-		c.jobs = c.jobs[1:]
 
 		r, ok := j.oldestUnsaved()
 		if !ok {
 			j.unsavedRows = nil
+			c.jobs = c.jobs[1:]
 
 			continue
 		}
 
 		if now < c.writableAt {
-			// It is the turn of this job once a row may be written.
-			c.jobs = append([]*jobInfo{j}, c.jobs...)
+			// It stays this job's turn until a row may be written.
 			c.wakeAt(c.writableAt)
 
 			return
 		}
 
-		c.jobs = append(c.jobs, j)
+		c.jobs = append(c.jobs[1:], j)
 
 		if due := r.since + f.CheckpointInterval; now < due {
 			c.wakeAt(due)
