Log lost connections of peers in one place

Cause: coordinator and sidecar each had the same function for the log lines of connections that end. Change: both use peer.LogLost.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -163,7 +163,7 @@
 		OnHello: peers.Establish,
 		// The leader opens no further streams.
 		MaxStreams: 1,
-		OnError:    c.logPeerLost,
+		OnError:    peer.LogLost(c.log, &c.repeats),
 	}
 
 	group.Go(func() error { return server.Serve(serving, l) })
--- a/coordinator/intake.go
+++ b/coordinator/intake.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"errors"
 
 	core "trefoildeck/core/intake"
-	"trefoildeck/internal/jsonlog"
 	"trefoildeck/io/admin"
 	"trefoildeck/io/intake"
-	"trefoildeck/io/peer"
-
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 )
 
 // guard returns a guard with limits for the listener called name.
@@ -56,15 +50,3 @@
 
 	return c.guard("Metrics", c.settings.CheckLimits()).Serve(ctx, a, admin.MetricsServer(c.meter.Set), 0)
 }
-
-// logPeerLost logs that a connection of a peer ended, or counts it if it was never a session: anyone
-// may open such connections.
-func (c *Coordinator) logPeerLost(remote string, err error) {
-	if errors.Is(err, peer.ErrNoHello) {
-		c.repeats.Log(c.log, zapcore.InfoLevel, "PeerLost", "NoHello", zap.String("Remote", remote), jsonlog.Error(err))
-
-		return
-	}
-
-	c.log.Info("PeerLost", zap.String("Remote", remote), jsonlog.Error(err))
-}
--- a/sidecar/intake.go
+++ b/sidecar/intake.go
@@ -2,16 +2,10 @@
 
 import (
 	"context"
-	"errors"
 
 	core "trefoildeck/core/intake"
-	"trefoildeck/internal/jsonlog"
 	"trefoildeck/io/admin"
 	"trefoildeck/io/intake"
-	"trefoildeck/io/peer"
-
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 )
 
 // guard returns a guard with limits for the listener called name.
@@ -33,15 +27,3 @@
 
 	return s.guard("Metrics", s.settings.CheckLimits()).Serve(ctx, a, admin.MetricsServer(s.meter.Set), 0)
 }
-
-// logPeerLost logs that a connection of a peer ended, or counts it if it was never a session: anyone
-// may open such connections.
-func (s *Sidecar) logPeerLost(remote string, err error) {
-	if errors.Is(err, peer.ErrNoHello) {
-		s.repeats.Log(s.log, zapcore.InfoLevel, "PeerLost", "NoHello", zap.String("Remote", remote), jsonlog.Error(err))
-
-		return
-	}
-
-	s.log.Info("PeerLost", zap.String("Remote", remote), jsonlog.Error(err))
-}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -137,7 +137,7 @@
 		OnHello: peers.Establish,
 		// The leader opens no further streams.
 		MaxStreams: 1,
-		OnError:    s.logPeerLost,
+		OnError:    peer.LogLost(s.log, &s.repeats),
 	}
 
 	announcements := platform.AnnouncementHandler{
