--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts of this review.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/standin2 ./review/_standin2
