--- a/review/_standin2/deployment.go
+++ b/review/_standin2/deployment.go
@@ -105,19 +105,15 @@
 	return d, nil
 }
 
-// freeNetwork returns the second byte of loopback addresses that nobody uses.
+// freeNetwork returns the second byte of loopback addresses that nobody uses. A listener of this process
+// keeps others from using them.
 func freeNetwork() (int, error) {
 	for range 50 {
 		n := 100 + rand.N(150)
 
-		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:9464", n))
-		if err != nil {
-			continue
+		if _, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.1:9464", n)); err == nil {
+			return n, nil
 		}
-
-		l.Close()
-
-		return n, nil
 	}
 
 	return 0, fmt.Errorf("no free network")
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -18,10 +18,10 @@
 
 func main() {
 	cases := map[string]func(string, bool) (int, error){
-		"refused": caseRefused,
-		"gang":    caseGang,
+		"refused":   caseRefused,
+		"gang":      caseGang,
 		"cancelled": caseCancelled,
-		"history": caseHistory,
+		"history":   caseHistory,
 	}
 
 	run := cases[os.Args[1]]
