--- a/review/_standin2/case_history.go
+++ b/review/_standin2/case_history.go
@@ -73,7 +73,7 @@
 )
 
 // caseHistory kills all entries of a deployment and starts them again, when the store has the finished
-// jobs of two hours, or of 34 s without the trouble. It checks that an accepted job runs afterwards.
+// jobs of three hours, or of 34 s without the trouble. It checks that an accepted job runs afterwards.
 func caseHistory(record string, trouble bool) (int, error) {
 	d, err := newDeployment(record, 3)
 	if err != nil {
@@ -103,7 +103,7 @@
 
 	length := 34 * time.Second
 	if trouble {
-		length = 2 * time.Hour
+		length = 3 * time.Hour
 	}
 
 	n := int(length.Seconds() * jobsPerSecond)
