Keep the outcome of a submission apart from that of its reads

Cause: the answer to the write of the job was lost, its repetition conflicted with the row, and the row could not be read. readJobRows reported that as platform.ErrRefused, which is true of the read and not of the submission; rowInConflict joined platform.ErrUnknown to it, and respond asked for ErrRefused first.

Change: reads return the errors of rows.Store, and each request decides what a failed read means for it. platform.InDoubt makes an ErrUnknown that matches no other error. OutcomeOf, used for the answer and the metric, puts ErrUnknown first.

Why it works: a refusal is now only made by code that knows that the request wrote nothing, and no error that says "in doubt" can be matched as anything else.

The expectations of TestRefusalInterleavings are unchanged. TestRefusalHistories changed in its random draws: half of the lost answers are now applied before the write is repeated, and every other history has conflicts without values.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -265,19 +264,13 @@
 func (c *Coordinator) measure(kind string, run func() error) error {
 	began := time.Now()
 	err := run()
-	outcome := "Answered"
-
-	switch {
-	case err == nil:
-	case errors.Is(err, platform.ErrNoJob):
-		outcome = "NoJob"
-	case errors.Is(err, platform.ErrRefused), errors.Is(err, platform.ErrUnstorable):
-		outcome = "Refused"
-	default:
-		outcome = "Unknown"
+
+	outcome := platform.OutcomeOf(err)
+	if outcome == platform.OutcomeUnstorable {
+		outcome = platform.OutcomeRefused
 	}
 
-	c.meter.Observe(time.Since(began), "requests", "kind", kind, "outcome", outcome)
+	c.meter.Observe(time.Since(began), "requests", "kind", kind, "outcome", string(outcome))
 
 	return err
 }
--- a/coordinator/refusals.go
+++ b/coordinator/refusals.go
@@ -80,7 +80,7 @@
 			return false, err
 		case later:
 			// The job must not be stored, and may be by an earlier write.
-			return false, fmt.Errorf("refuse: %w", errors.Join(platform.ErrUnknown, err))
+			return false, fmt.Errorf("refuse: %w", platform.InDoubt(err))
 		default:
 			refusal = nil
 
@@ -179,7 +179,8 @@
 
 	p, err := c.readJobRows(ctx, id)
 	if err != nil {
-		return rows.Row{}, fmt.Errorf("read the row in conflict: %w", errors.Join(platform.ErrUnknown, err))
+		// The row may be that of an earlier attempt of this write.
+		return rows.Row{}, fmt.Errorf("read the row in conflict: %w", platform.InDoubt(err))
 	}
 
 	for _, r := range p.Rows {
--- a/coordinator/refusals_test.go
+++ b/coordinator/refusals_test.go
@@ -378,7 +378,8 @@
 
 // TestRefusalHistories lets a caller repeat a submission at random entries, which refuse and admit as
 // they like, over a store that loses answers and applies such writes up to 2 s late. It checks that a
-// job that was refused in the end is never stored, and that one that was accepted is.
+// job that was refused in the end is never stored, nor one whose submissions were all rejected, and that
+// one that was accepted is.
 func TestRefusalHistories(t *testing.T) {
 	const seeds = 400
 
@@ -390,7 +391,7 @@
 		})
 	}
 
-	for _, o := range []string{"accepted", "refused", "unknown"} {
+	for _, o := range []string{"accepted", "refused", "no effect", "unknown"} {
 		assert.Assert(t, outcomes[o] > 0, "%v", outcomes)
 	}
 }
@@ -418,12 +419,10 @@
 	}
 
 	s := emulator.NewRowStore()
-	s.CommitTime = func() time.Duration { return between(time.Millisecond, 100*time.Millisecond) }
-	s.LoseAnswer = func(rows.Transaction) (bool, time.Duration) { return chance(0.4), between(0, 2*time.Second) }
-	s.Refuse = func() bool { return chance(0.05) }
-
-	entries := []testEntry{newTestEntry(s.Store()), newTestEntry(s.Store()), newTestEntry(s.Store())}
+	store := unreliableStore(s, chance, between, seed%2 == 1)
+	entries := []testEntry{newTestEntry(store), newTestEntry(store), newTestEntry(store)}
 	answer := "unknown"
+	inDoubt := false
 
 	for range 6 {
 		e := entries[int(between(0, 3))]
@@ -441,7 +440,9 @@
 		switch answer {
 		case "accepted":
 			end = true
-		case "refused":
+		case "unknown":
+			inDoubt = true
+		case "refused", "no effect":
 			// Some callers come again.
 			if end = chance(0.5); !end {
 				time.Sleep(between(0, 2*time.Second))
@@ -456,19 +457,60 @@
 	// All requests have ended by then, and all writes are applied.
 	time.Sleep(20 * time.Second)
 
-	list := s.Rows(jobTable)
+	assertTrue(t, s.Rows(jobTable), answer, inDoubt, seed)
 
-	switch answer {
-	case "accepted":
-		assert.Assert(t, len(list) == 1 && !isRefusal(list[0].Value), "seed %d: an accepted job is not stored", seed)
-	case "refused":
-		assert.Assert(t, len(list) == 1 && isRefusal(list[0].Value), "seed %d: a refused job is stored", seed)
+	return answer
+}
+
+// unreliableStore returns a client of s that loses answers and refuses calls. With unread, conflicts have
+// no values and more reads are refused.
+func unreliableStore(s *emulator.RowStore, chance func(float64) bool, between func(low, high time.Duration) time.Duration, unread bool) *rows.Store {
+	s.CommitTime = func() time.Duration { return between(time.Millisecond, 100*time.Millisecond) }
+	s.LoseAnswer = func(rows.Transaction) (bool, time.Duration) {
+		if chance(0.5) {
+			// Applied before the write is repeated.
+			return chance(0.4), between(0, retryPause)
+		}
+
+		return chance(0.4), between(0, 2*time.Second)
+	}
+	s.Refuse = func() bool { return chance(0.05) }
+
+	if !unread {
+		return s.Store()
 	}
 
-	return answer
+	store := withoutConflictValues(s.Store())
+	store.Range = func(ctx context.Context, table, part, from, to string) (rows.Page, error) {
+		if chance(0.3) {
+			return rows.Page{}, rows.ErrRefused
+		}
+
+		return s.Range(ctx, table, part, from, to)
+	}
+
+	return store
+}
+
+// assertTrue checks the last answer of a history against the rows of jobs. With inDoubt, a submission had
+// no answer, or one that it may have taken effect.
+func assertTrue(t *testing.T, list []rows.Row, answer string, inDoubt bool, seed uint64) {
+	t.Helper()
+
+	stored := len(list) == 1 && !isRefusal(list[0].Value)
+
+	switch {
+	case answer == "accepted":
+		assert.Assert(t, stored, "seed %d: an accepted job is not stored", seed)
+	case answer == "refused":
+		assert.Assert(t, len(list) == 1 && isRefusal(list[0].Value), "seed %d: a refused job is stored", seed)
+	case !inDoubt:
+		assert.Assert(t, !stored, "seed %d: a job is stored that was rejected each time", seed)
+	}
 }
 
-// call submits the job and waits for a time for the answer, which the entry goes on to work on.
+// call submits the job and waits for a time for the answer, which the entry goes on to work on. The
+// answer "no effect" is a 503 without a stored refusal.
 func call(t *testing.T, e testEntry, patience time.Duration) string {
 	t.Helper()
 
@@ -484,6 +526,8 @@
 			return "accepted"
 		case errors.As(err, &r):
 			return "refused"
+		case platform.OutcomeOf(err) == platform.OutcomeRefused:
+			return "no effect"
 		default:
 			return "unknown"
 		}
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -119,8 +119,12 @@
 // row may have been shorter.
 func (c *Coordinator) checkUnstorable(ctx context.Context, id string, size int) (bool, error) {
 	known, _, err := c.readJob(ctx, id)
-	if known || err != nil {
-		return known, err
+	if err != nil {
+		return false, fmt.Errorf("look for the job: %w", errors.Join(platform.ErrRefused, err))
+	}
+
+	if known {
+		return true, nil
 	}
 
 	c.meter.Count("jobs_unstorable_total")
@@ -137,7 +141,7 @@
 func (c *Coordinator) commit(ctx context.Context, t rows.Transaction, row rows.Row) error {
 	t.Set = []rows.Row{row}
 	began := time.Now()
-	outcome := platform.ErrRefused
+	inDoubt := false
 
 	for {
 		err := rows.ErrRefused
@@ -147,8 +151,8 @@
 
 			stamp, err = c.store.Commit(ctx, t)
 			row.Version = stamp.Version
-		} else if outcome == platform.ErrRefused {
-			return fmt.Errorf("the store is out of reach: %w", outcome)
+		} else if !inDoubt {
+			return fmt.Errorf("the store is out of reach: %w", platform.ErrRefused)
 		}
 
 		switch {
@@ -162,11 +166,14 @@
 			// An earlier attempt, if there was one, was rejected as well.
 			return fmt.Errorf("store: %w", err)
 		case errors.Is(err, rows.ErrUnknown):
-			outcome = platform.ErrUnknown
+			inDoubt = true
 		}
 
-		if ctx.Err() != nil || (outcome == platform.ErrRefused && time.Since(began) > retryTimeout) {
-			return fmt.Errorf("store: %w", errors.Join(outcome, err))
+		switch {
+		case inDoubt && ctx.Err() != nil:
+			return fmt.Errorf("store: %w", platform.InDoubt(err))
+		case !inDoubt && (ctx.Err() != nil || time.Since(began) > retryTimeout):
+			return fmt.Errorf("store: %w", errors.Join(platform.ErrRefused, err))
 		}
 
 		sleep(ctx, retryPause)
@@ -193,11 +200,13 @@
 // cancel writes a job's cancellation to the store.
 func (c *Coordinator) cancel(ctx context.Context, id string) error {
 	known, _, err := c.readJob(ctx, id)
-	if err == nil && !known {
-		err = platform.ErrNoJob
-	}
 
-	if err == nil {
+	switch {
+	case err != nil:
+		err = fmt.Errorf("look for the job: %w", errors.Join(platform.ErrRefused, err))
+	case !known:
+		err = platform.ErrNoJob
+	default:
 		err = c.commit(ctx, rows.Transaction{Part: partOf(id)}, rows.Row{
 			Table: jobTable,
 			Key:   id + cancelSuffix,
@@ -226,15 +235,16 @@
 	return known, cancelled, nil
 }
 
-// readJobRows reads the rows of a job, or its refusal, from the store.
+// readJobRows reads the rows of a job, or its refusal, from the store. Its errors are those of rows.Store:
+// a read that failed doesn't tell what became of a request.
 func (c *Coordinator) readJobRows(ctx context.Context, id string) (rows.Page, error) {
 	if !c.storeReachable() {
-		return rows.Page{}, fmt.Errorf("the store is out of reach: %w", platform.ErrRefused)
+		return rows.Page{}, fmt.Errorf("the store is out of reach: %w", rows.ErrRefused)
 	}
 
 	p, err := c.store.Range(ctx, jobTable, partOf(id), id, id+jobKeysEnd)
 	if err != nil {
-		return rows.Page{}, fmt.Errorf("read job: %w", errors.Join(platform.ErrRefused, err))
+		return rows.Page{}, fmt.Errorf("read job: %w", err)
 	}
 
 	return p, nil
@@ -251,7 +261,7 @@
 
 	switch {
 	case err != nil:
-		return "", err
+		return "", fmt.Errorf("look for the job: %w", errors.Join(platform.ErrRefused, err))
 	case !known:
 		return "", platform.ErrNoJob
 	}
