Count a write as in doubt unless its error says that nothing was done

The same untrue 503 would come from a gateway's 502 before the store, or from an error that a peer has no name for.

Change: in doubt is the default.

--- a/coordinator/in_doubt_test.go
+++ b/coordinator/in_doubt_test.go
@@ -15,6 +15,7 @@
 	"trefoildeck/platform"
 	"trefoildeck/standin/emulator"
 
+	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 )
 
@@ -112,3 +113,43 @@
 		})
 	}
 }
+
+// TestUnclassifiedErrorIsInDoubt guards against a 503 for a write of which nobody said that it had no effect.
+func TestUnclassifiedErrorIsInDoubt(t *testing.T) {
+	tests := map[string]struct {
+		err  error
+		want platform.Outcome
+	}{
+		"Refused":            {rows.ErrRefused, platform.OutcomeRefused},
+		"Unknown":            {rows.ErrUnknown, platform.OutcomeUnknown},
+		"RefusedAndUnknown":  {errors.Join(rows.ErrRefused, rows.ErrUnknown), platform.OutcomeUnknown},
+		"Unclassified":       {eris.New("some other error"), platform.OutcomeUnknown},
+		"RejectedTooLarge":   {rows.ErrInvalid, platform.OutcomeUnstorable},
+		"UnknownThenRefused": {nil, platform.OutcomeUnknown},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls := 0
+				e := newTestEntry(&rows.Store{
+					Commit: func(context.Context, rows.Transaction) (rows.Stamp, error) {
+						calls++
+
+						switch {
+						case c.err != nil:
+							return rows.Stamp{}, c.err
+						case calls == 1:
+							return rows.Stamp{}, rows.ErrUnknown
+						default:
+							return rows.Stamp{}, rows.ErrRefused
+						}
+					},
+					Range: emulator.NewRowStore().Range,
+				})
+
+				assert.Equal(t, platform.OutcomeOf(e.submit(t.Context())), c.want)
+			})
+		})
+	}
+}
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -165,7 +165,7 @@
 		case errors.Is(err, rows.ErrInvalid):
 			// An earlier attempt, if there was one, was rejected as well.
 			return fmt.Errorf("store: %w", err)
-		case errors.Is(err, rows.ErrUnknown):
+		case errors.Is(err, rows.ErrUnknown) || !errors.Is(err, rows.ErrRefused):
 			inDoubt = true
 		}
 
--- a/io/peer/store.go
+++ b/io/peer/store.go
@@ -147,8 +147,10 @@
 		m.Outcome = outcomeHistoryLost
 	case errors.Is(err, rows.ErrInvalid):
 		m.Outcome = outcomeInvalid
-	default:
+	case errors.Is(err, rows.ErrRefused):
 		m.Outcome = outcomeRefused
+	default:
+		m.Outcome = outcomeUnknown
 	}
 
 	return m
--- a/io/peer/store_test.go
+++ b/io/peer/store_test.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// TestOtherStoreErrorIsUnknown guards against a relayed write that counts as refused although nobody
+// said that it had no effect.
+func TestOtherStoreErrorIsUnknown(t *testing.T) {
+	_, err := DecodeStoreAnswer(encodeStoreAnswer(1, rows.Page{}, errors.ErrUnsupported))
+
+	assert.ErrorIs(t, err, rows.ErrUnknown)
+	assert.Assert(t, !errors.Is(err, rows.ErrRefused))
+}
+
 // describeRows describes rows in a form that is compared fast.
 func describeRows(list []rows.Row) []string {
 	var described []string
