Give each hosted deployment of the tests a loopback network of its own

Cause: each test named its network by a number, and both named 73. So did others: 74 stood in two tests that run at the same time, 81 to 90 in tests of clients and of other parts.

Change: newHosted takes the next network that is in use by no deployment, and returns it at the end of the test, so that no number stands in a test any more. The random numbers of a deployment come from the test's name in place of its network.

--- a/integration/clients_answers_test.go
+++ b/integration/clients_answers_test.go
@@ -16,7 +16,7 @@
 	text := `{"spec":"s","steps":[{"count":1,"cpu":100,"image":"%s"}]}`
 	body := fmt.Appendf(nil, text, strings.Repeat("<", callerBodyBytes-len(text)))
 
-	crowdedEntry(t, 213, callerPort, clients, func(i int, c net.Conn) error {
+	crowdedEntry(t, callerPort, clients, func(i int, c net.Conn) error {
 		head := fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\nTimeout-Ms: 3000\r\n", hostedPrefix, i, hostedHost)
 		_, err := c.Write(bodyCrowd{}.request(head, body))
 
@@ -39,7 +39,7 @@
 
 	header = append(header, "\r\n"...)
 
-	crowdedEntry(t, 214, callerPort, clients, func(_ int, c net.Conn) error {
+	crowdedEntry(t, callerPort, clients, func(_ int, c net.Conn) error {
 		_, err := c.Write(header)
 
 		return err
@@ -62,12 +62,12 @@
 		"Ready":         "/",
 	}
 
-	for name, a := range crowdedAddresses(215) {
+	for name, a := range crowdedAddresses() {
 		t.Run(name, func(t *testing.T) {
 			one := fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", paths[name], hostedHost)
 			all := bytes.Repeat(one, requests)
 
-			a.run(t, a.network, a.port, clients, func(_ int, c net.Conn) error {
+			a.run(t, a.port, clients, func(_ int, c net.Conn) error {
 				if err := c.(*net.TCPConn).SetReadBuffer(1 << 10); err != nil {
 					return err
 				}
--- a/integration/clients_bodies_test.go
+++ b/integration/clients_bodies_test.go
@@ -106,16 +106,11 @@
 // TestClientsCallerBodies checks that an entry stays within its memory when many callers send
 // large bodies and stop short of their ends: it held all of them.
 func TestClientsCallerBodies(t *testing.T) {
-	network := 81
-
 	for name, b := range bodyCrowds {
-		own := network
-		network++
-
 		t.Run(name, func(t *testing.T) {
 			body := padded(`{"spec":"s","steps":[{"count":1,"cpu":100}]}`, callerBodyBytes)
 
-			crowdedEntry(t, own, callerPort, crowdBodies, func(i int, c net.Conn) error {
+			crowdedEntry(t, callerPort, crowdBodies, func(i int, c net.Conn) error {
 				head := fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\nTimeout-Ms: 3000\r\n", hostedPrefix, i, hostedHost)
 
 				return b.send(i, c, b.request(head, body))
@@ -132,7 +127,7 @@
 	body := append([]byte(`{"spec":"s","steps":[{}`), bytes.Repeat([]byte(",{}"), callerBodyBytes/3-10)...)
 	body = append(body, "]}"...)
 
-	crowdedEntry(t, 85, callerPort, clients, func(i int, c net.Conn) error {
+	crowdedEntry(t, callerPort, clients, func(i int, c net.Conn) error {
 		head := fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\nTimeout-Ms: 3000\r\n", hostedPrefix, i, hostedHost)
 		_, err := c.Write(bodyCrowd{}.request(head, body))
 
@@ -143,16 +138,11 @@
 // TestClientsAnnouncements checks the same of an agent and announcements as
 // TestClientsCallerBodies of an entry and callers' bodies.
 func TestClientsAnnouncements(t *testing.T) {
-	network := 86
-
 	for name, b := range bodyCrowds {
-		own := network
-		network++
-
 		t.Run(name, func(t *testing.T) {
 			body := padded(`{"service":"none","zone":"lannion","state":"ready","capacity":{},"seq":1}`, announcementBytes)
 
-			crowdedAgent(t, own, announcementPort, crowdAnnouncements, func(i int, c net.Conn) error {
+			crowdedAgent(t, announcementPort, crowdAnnouncements, func(i int, c net.Conn) error {
 				return b.send(i, c, b.request("PUT "+announcementPath+" HTTP/1.1\r\nHost: agent\r\n", body))
 			})
 		})
@@ -168,7 +158,7 @@
 		bytes.Repeat([]byte(`,""`), announcementBytes/3-100)...)
 	body = append(body, "]}"...)
 
-	crowdedAgent(t, 90, announcementPort, clients, func(_ int, c net.Conn) error {
+	crowdedAgent(t, announcementPort, clients, func(_ int, c net.Conn) error {
 		_, err := c.Write(bodyCrowd{}.request("PUT "+announcementPath+" HTTP/1.1\r\nHost: agent\r\n", body))
 
 		return err
--- a/integration/clients_connections_test.go
+++ b/integration/clients_connections_test.go
@@ -18,29 +18,27 @@
 
 // crowdedAddress is an address of an entry or an agent.
 type crowdedAddress struct {
-	network int
-	run     func(t *testing.T, network int, port string, clients int, attack func(i int, c net.Conn) error)
-	port    string
+	run  func(t *testing.T, port string, clients int, attack func(i int, c net.Conn) error)
+	port string
 }
 
-// crowdedAddresses returns all addresses of both programs that speak HTTP, on networks from
-// the given one.
-func crowdedAddresses(network int) map[string]crowdedAddress {
+// crowdedAddresses returns all addresses of both programs that speak HTTP.
+func crowdedAddresses() map[string]crowdedAddress {
 	return map[string]crowdedAddress{
-		"Callers":       {network, crowdedEntry, callerPort},
-		"Ready":         {network + 1, crowdedEntry, ":8081"},
-		"EntryMetrics":  {network + 2, crowdedEntry, ":9464"},
-		"Announcements": {network + 3, crowdedAgent, announcementPort},
-		"AgentMetrics":  {network + 4, crowdedAgent, ":9464"},
+		"Callers":       {crowdedEntry, callerPort},
+		"Ready":         {crowdedEntry, ":8081"},
+		"EntryMetrics":  {crowdedEntry, ":9464"},
+		"Announcements": {crowdedAgent, announcementPort},
+		"AgentMetrics":  {crowdedAgent, ":9464"},
 	}
 }
 
 // TestClientsConnections checks that the descriptors of a process stay under their bound when
 // many clients open connections and send no more than a part of a header: all were kept open.
 func TestClientsConnections(t *testing.T) {
-	for name, a := range crowdedAddresses(91) {
+	for name, a := range crowdedAddresses() {
 		t.Run(name, func(t *testing.T) {
-			a.run(t, a.network, a.port, crowdConnections, func(_ int, c net.Conn) error {
+			a.run(t, a.port, crowdConnections, func(_ int, c net.Conn) error {
 				_, err := c.Write([]byte("GET / HTTP/1.1\r\nHost: a\r\n"))
 
 				return err
@@ -53,13 +51,13 @@
 // nothing is sent.
 func TestClientsSilentPeers(t *testing.T) {
 	tests := map[string]crowdedAddress{
-		"Entry": {96, crowdedEntry, peerPort},
-		"Agent": {97, crowdedAgent, peerPort},
+		"Entry": {crowdedEntry, peerPort},
+		"Agent": {crowdedAgent, peerPort},
 	}
 
 	for name, a := range tests {
 		t.Run(name, func(t *testing.T) {
-			a.run(t, a.network, a.port, crowdConnections, func(int, net.Conn) error { return nil })
+			a.run(t, a.port, crowdConnections, func(int, net.Conn) error { return nil })
 		})
 	}
 }
@@ -74,9 +72,9 @@
 
 	header := append([]byte("GET /metrics HTTP/1.1\r\nHost: a\r\n"), bytes.Repeat([]byte("Name: value\r\n"), headerBytes/13)...)
 
-	for name, a := range crowdedAddresses(205) {
+	for name, a := range crowdedAddresses() {
 		t.Run(name, func(t *testing.T) {
-			a.run(t, a.network, a.port, clients, func(_ int, c net.Conn) error {
+			a.run(t, a.port, clients, func(_ int, c net.Conn) error {
 				_, err := c.Write(header)
 
 				return err
@@ -98,7 +96,7 @@
 		header = fmt.Appendf(header, "%x:\r\n", i)
 	}
 
-	crowdedEntry(t, 212, callerPort, clients, func(_ int, c net.Conn) error {
+	crowdedEntry(t, callerPort, clients, func(_ int, c net.Conn) error {
 		_, err := c.Write(header)
 
 		return err
@@ -113,13 +111,13 @@
 	frame := append(protowire.AppendVarint(nil, peer.MaxFrame), make([]byte, peer.MaxFrame-1)...)
 
 	tests := map[string]crowdedAddress{
-		"Entry": {210, crowdedEntry, peerPort},
-		"Agent": {211, crowdedAgent, peerPort},
+		"Entry": {crowdedEntry, peerPort},
+		"Agent": {crowdedAgent, peerPort},
 	}
 
 	for name, a := range tests {
 		t.Run(name, func(t *testing.T) {
-			a.run(t, a.network, a.port, clients, func(_ int, c net.Conn) error {
+			a.run(t, a.port, clients, func(_ int, c net.Conn) error {
 				config := yamux.DefaultConfig()
 				config.LogOutput = io.Discard
 
--- a/integration/clients_crowd_test.go
+++ b/integration/clients_crowd_test.go
@@ -261,12 +261,12 @@
 }
 
 // startCrowded starts an entry, or an entry and an agent, with crowdMemoryMB.
-func startCrowded(t *testing.T, network, agents int) *hosted {
+func startCrowded(t *testing.T, agents int) *hosted {
 	t.Helper()
 
-	h := newHosted(t, network)
+	h := newHosted(t)
 	h.memoryMB = crowdMemoryMB
-	h.launch(network, make([]float64, 1), agents)
+	h.launch(make([]float64, 1), agents)
 	h.awaitReady(0)
 
 	return h
@@ -288,10 +288,10 @@
 }
 
 // crowdedEntry runs a crowd against an entry of its own, at a port, and submits ordinary jobs.
-func crowdedEntry(t *testing.T, network int, port string, clients int, attack func(i int, c net.Conn) error) {
+func crowdedEntry(t *testing.T, port string, clients int, attack func(i int, c net.Conn) error) {
 	t.Helper()
 
-	h := startCrowded(t, network, 0)
+	h := startCrowded(t, 0)
 	ip := strings.TrimSuffix(h.entries[0].callerAddress, ":8080")
 
 	withstand(t, h.entries[0], ip, crowd{
@@ -313,11 +313,11 @@
 
 // crowdedAgent runs a crowd against an agent of its own, at a port, and sends ordinary
 // announcements.
-func crowdedAgent(t *testing.T, network int, port string, clients int, attack func(i int, c net.Conn) error) {
+func crowdedAgent(t *testing.T, port string, clients int, attack func(i int, c net.Conn) error) {
 	t.Helper()
 
-	h := startCrowded(t, network, 1)
-	ip := fmt.Sprintf("127.%d.2.1", network)
+	h := startCrowded(t, 1)
+	ip := fmt.Sprintf("127.%d.2.1", h.network)
 
 	withstand(t, h.agents[0], ip, crowd{
 		address: ip + port,
--- a/integration/clients_ordinary_test.go
+++ b/integration/clients_ordinary_test.go
@@ -22,9 +22,9 @@
 		jobs       = 900
 	)
 
-	h := newHosted(t, 220)
+	h := newHosted(t)
 	h.memoryMB = smallestMB
-	h.launch(220, make([]float64, 1), 0)
+	h.launch(make([]float64, 1), 0)
 	h.awaitReady(0)
 
 	ids := make([]string, jobs)
--- a/integration/hosted_deployment_test.go
+++ b/integration/hosted_deployment_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -41,7 +42,9 @@
 
 // hosted is a deployment of trefoildeck-node on the emulated platform.
 type hosted struct {
-	t            *testing.T
+	t *testing.T
+	// network is the second byte of the addresses, 127.network.0.0/16.
+	network      int
 	checker      *emulator.Checker
 	store        *emulator.RowStore
 	storeAddress string
@@ -128,44 +131,48 @@
 	return path, build.Run()
 })
 
-// startHosted starts a deployment on the loopback network 127.network.0.0/16.
-func startHosted(t *testing.T, network, entries, agents int) *hosted {
+// startHosted starts a deployment on a loopback network of its own.
+func startHosted(t *testing.T, entries, agents int) *hosted {
 	t.Helper()
 
-	return startWithShares(t, network, make([]float64, entries), agents)
+	return startWithShares(t, make([]float64, entries), agents)
 }
 
 // startProxied starts a deployment whose processes reach the store through
 // fault-injecting proxies.
-func startProxied(t *testing.T, network, entries, agents int) *hosted {
+func startProxied(t *testing.T, entries, agents int) *hosted {
 	t.Helper()
 
-	h := newHosted(t, network)
+	h := newHosted(t)
 	h.proxied = true
-	h.launch(network, make([]float64, entries), agents)
+	h.launch(make([]float64, entries), agents)
 
 	return h
 }
 
 // startWithShares starts a deployment with an entry for each of the given shares of a
 // core.
-func startWithShares(t *testing.T, network int, shares []float64, agents int) *hosted {
+func startWithShares(t *testing.T, shares []float64, agents int) *hosted {
 	t.Helper()
 
-	h := newHosted(t, network)
-	h.launch(network, shares, agents)
+	h := newHosted(t)
+	h.launch(shares, agents)
 
 	return h
 }
 
-func newHosted(t *testing.T, network int) *hosted {
+func newHosted(t *testing.T) *hosted {
 	t.Helper()
 
+	name := fnv.New64a()
+	_, _ = name.Write([]byte(t.Name()))
+
 	return &hosted{
 		t:       t,
+		network: takeNetwork(t),
 		checker: emulator.NewChecker(),
 		store:   emulator.NewRowStore(),
-		random:  rand.New(rand.NewPCG(1, uint64(network))),
+		random:  rand.New(rand.NewPCG(1, name.Sum64())),
 		specs:   map[string]job.Spec{},
 
 		memoryMB: hostedMemoryMB,
@@ -174,7 +181,7 @@
 
 // launch starts the processes and workers, and stops the processes at the end of the
 // test.
-func (h *hosted) launch(network int, shares []float64, agents int) {
+func (h *hosted) launch(shares []float64, agents int) {
 	h.t.Helper()
 
 	h.storeAddress, _ = h.serveStore()
@@ -182,7 +189,7 @@
 	h.configure(1)
 
 	for i := range shares {
-		ip := fmt.Sprintf("127.%d.1.%d", network, i+1)
+		ip := fmt.Sprintf("127.%d.1.%d", h.network, i+1)
 		address, refuses := h.serveStore()
 		h.storeAddress = address
 		h.storeRefuses = append(h.storeRefuses, refuses)
@@ -196,7 +203,7 @@
 	h.storeAddress, _ = h.serveStore()
 
 	for i := range agents {
-		h.startWorker(network, i)
+		h.startWorker(i)
 	}
 
 	for _, p := range append(append([]*hostedProcess{}, h.entries...), h.agents...) {
@@ -235,8 +242,8 @@
 }
 
 // startWorker starts an emulated worker and adds its agent, which isn't started yet.
-func (h *hosted) startWorker(network, i int) {
-	ip := fmt.Sprintf("127.%d.2.%d", network, i+1)
+func (h *hosted) startWorker(i int) {
+	ip := fmt.Sprintf("127.%d.2.%d", h.network, i+1)
 	w := &emulator.Worker{
 		ID:      fmt.Sprintf("i-%d", i+1),
 		Service: hostedService,
--- a/integration/platform_admission_test.go
+++ b/integration/platform_admission_test.go
@@ -25,12 +25,12 @@
 `
 
 // startAdmitting starts a deployment that refuses what can't be useful. Each task takes a second.
-func startAdmitting(t *testing.T, network, entries, agents int) *hosted {
+func startAdmitting(t *testing.T, entries, agents int) *hosted {
 	t.Helper()
 
-	h := newHosted(t, network)
+	h := newHosted(t)
 	h.scheduling = fairScheduling
-	h.launch(network, make([]float64, entries), agents)
+	h.launch(make([]float64, entries), agents)
 	h.planRuns(time.Second)
 	h.awaitState("succeeded", h.submit(secondStep()))
 
@@ -173,7 +173,7 @@
 func TestHostedOverload(t *testing.T) {
 	t.Parallel()
 
-	h := startAdmitting(t, 81, 3, 2)
+	h := startAdmitting(t, 3, 2)
 	accepted, refused := h.submitBurst(60)
 	assert.Assert(t, len(refused) > 0 && len(accepted) > 0, "%d jobs accepted, %d refused", len(accepted), len(refused))
 	h.checkRefused(refused)
@@ -202,7 +202,7 @@
 func TestHostedRefusalFaults(t *testing.T) {
 	t.Parallel()
 
-	h := startAdmitting(t, 82, 3, 2)
+	h := startAdmitting(t, 3, 2)
 
 	var (
 		mu sync.Mutex
@@ -248,14 +248,14 @@
 func TestHostedOldEntry(t *testing.T) {
 	t.Parallel()
 
-	h := newHosted(t, 83)
+	h := newHosted(t)
 	h.scheduling = fairScheduling
 	h.store.Put(rows.Row{
 		Table: "node",
 		Key:   "front-9",
-		Value: []byte(`{"Address":"127.83.1.9:7720","DataCentre":"lannion","Role":"Entry","Boot":"b"}`),
+		Value: fmt.Appendf(nil, `{"Address":"127.%d.1.9:7720","DataCentre":"lannion","Role":"Entry","Boot":"b"}`, h.network),
 	})
-	h.launch(83, make([]float64, 2), 1)
+	h.launch(make([]float64, 2), 1)
 	h.planRuns(200 * time.Millisecond)
 	h.awaitState("succeeded", h.submit(secondStep()))
 
--- a/integration/platform_authority_test.go
+++ b/integration/platform_authority_test.go
@@ -24,18 +24,17 @@
 	t.Parallel()
 
 	tests := map[string]struct {
-		network int
-		pick    func(*hosted) *hostedProcess
+		pick func(*hosted) *hostedProcess
 	}{
-		"Leader": {41, func(h *hosted) *hostedProcess { return h.entries[h.leader()] }},
-		"Agent":  {42, func(h *hosted) *hostedProcess { return h.agents[0] }},
+		"Leader": {func(h *hosted) *hostedProcess { return h.entries[h.leader()] }},
+		"Agent":  {func(h *hosted) *hostedProcess { return h.agents[0] }},
 	}
 
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			h := startHosted(t, c.network, 3, 3)
+			h := startHosted(t, 3, 3)
 			h.planRuns(400 * time.Millisecond)
 
 			ids := []string{h.submit(dependentSteps()...), h.submit(dependentSteps()...)}
@@ -61,7 +60,7 @@
 func TestHostedHandOver(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 43, 3, 3)
+	h := startHosted(t, 3, 3)
 	h.planRuns(300 * time.Millisecond)
 
 	var orders atomic.Int64
@@ -107,7 +106,7 @@
 func TestHostedWithdrawn(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 44, 2, 2)
+	h := startHosted(t, 2, 2)
 	h.awaitState("succeeded", h.submit(dependentSteps()...))
 
 	withdrawn := versionPrefix(1)
@@ -156,7 +155,7 @@
 func TestHostedTerminationHeld(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 45, 2, 2)
+	h := startHosted(t, 2, 2)
 	h.awaitState("succeeded", h.submit(dependentSteps()...))
 
 	spec := job.Spec{
--- a/integration/platform_lapse_test.go
+++ b/integration/platform_lapse_test.go
@@ -26,7 +26,7 @@
 func TestHostedFoundRunsTakenForLapsed(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 46, 1, 2)
+	h := startHosted(t, 1, 2)
 	h.planRuns(5 * time.Second)
 
 	id := h.submit(dependentSteps()...)
--- a/integration/platform_large_test.go
+++ b/integration/platform_large_test.go
@@ -19,7 +19,7 @@
 
 	const count = 700
 
-	h := startHosted(t, 73, 2, 2)
+	h := startHosted(t, 2, 2)
 
 	before := h.submit(dependentSteps()...)
 	h.awaitState("succeeded", before)
@@ -52,7 +52,7 @@
 
 	const count = 2400
 
-	h := startHosted(t, 74, 2, 2)
+	h := startHosted(t, 2, 2)
 
 	for _, w := range h.workers {
 		w.PlanRun = func(id job.TaskID, _ int) emulator.RunPlan {
--- a/integration/platform_look_ahead_test.go
+++ b/integration/platform_look_ahead_test.go
@@ -17,7 +17,7 @@
 func TestHostedLookAhead(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 90, 1, 1)
+	h := startHosted(t, 1, 1)
 	h.workers[0].PlanRun = func(id job.TaskID, _ int) emulator.RunPlan {
 		return emulator.RunPlan{
 			Duration:  1500*time.Millisecond + time.Duration(id.Index%4)*400*time.Millisecond,
--- a/integration/platform_lost_listings_test.go
+++ b/integration/platform_lost_listings_test.go
@@ -15,7 +15,7 @@
 func TestHostedListingsLost(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 47, 1, 1)
+	h := startHosted(t, 1, 1)
 	h.planRuns(300 * time.Millisecond)
 
 	var listings atomic.Int64
--- a/integration/platform_restart_test.go
+++ b/integration/platform_restart_test.go
@@ -23,7 +23,7 @@
 func TestHostedRollingRestart(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 33, 2, 3)
+	h := startHosted(t, 2, 3)
 
 	for _, w := range h.workers {
 		w.PlanRun = func(id job.TaskID, _ int) emulator.RunPlan {
@@ -102,19 +102,16 @@
 		duration = 2 * time.Second
 	)
 
-	tests := map[string]struct {
-		network      int
-		restartAgent bool
-	}{
-		"AgentStays":    {71, false},
-		"AgentRestarts": {72, true},
+	tests := map[string]struct{ restartAgent bool }{
+		"AgentStays":    {false},
+		"AgentRestarts": {true},
 	}
 
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			h := startHosted(t, c.network, 1, 1)
+			h := startHosted(t, 1, 1)
 			h.planRuns(duration)
 
 			id := h.submit(job.Step{
@@ -157,7 +154,7 @@
 		enough = 12
 	)
 
-	h := startHosted(t, 34, 1, 1)
+	h := startHosted(t, 1, 1)
 	h.awaitAnyLeader()
 
 	for _, p := range []*hostedProcess{h.entries[0], h.agents[0]} {
--- a/integration/platform_soak_test.go
+++ b/integration/platform_soak_test.go
@@ -23,9 +23,6 @@
 	// hostedSoakDuration is the time during which faults are injected. With the wait for
 	// all jobs at the end, a run stays under a minute.
 	hostedSoakDuration = 15 * time.Second
-	// hostedSoakNetwork is the loopback network of the first run; each run has its
-	// own.
-	hostedSoakNetwork = 100
 	// maxSoakRuns bounds the seeds of one call, as each has its own loopback network.
 	maxSoakRuns = 100
 	// configurationDelay is the time until a configuration is in force everywhere: the
@@ -76,15 +73,10 @@
 func TestHostedSoak(t *testing.T) {
 	t.Parallel()
 
-	network := hostedSoakNetwork
-
 	for name, seed := range seeds(t) {
-		own := network
-		network++
-
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			runHostedSoak(t, own, uint64(seed))
+			runHostedSoak(t, uint64(seed))
 		})
 	}
 }
@@ -124,12 +116,12 @@
 	return n
 }
 
-func runHostedSoak(t *testing.T, network int, seed uint64) {
+func runHostedSoak(t *testing.T, seed uint64) {
 	t.Helper()
 
 	r := rand.New(rand.NewPCG(seed, seed))
 	s := &hostedSoak{
-		hosted:      startProxied(t, network, 2+r.IntN(2), 2+r.IntN(3)),
+		hosted:      startProxied(t, 2+r.IntN(2), 2+r.IntN(3)),
 		unavailable: map[*hostedProcess]bool{},
 	}
 	s.random = r
--- a/integration/platform_test.go
+++ b/integration/platform_test.go
@@ -23,7 +23,7 @@
 func TestHostedStrongerLeads(t *testing.T) {
 	t.Parallel()
 
-	h := startWithShares(t, 31, []float64{0.1, 0.8, 0.1}, 2)
+	h := startWithShares(t, []float64{0.1, 0.8, 0.1}, 2)
 	before := h.submit(dependentSteps()...)
 
 	h.awaitLeader(1)
@@ -44,15 +44,15 @@
 func TestHostedCalm(t *testing.T) {
 	t.Parallel()
 
-	tests := map[string]struct{ network, entries, agents int }{
-		"BalisageArmor":  {11, 4, 4},
-		"SillasDelValle": {21, 3, 3},
+	tests := map[string]struct{ entries, agents int }{
+		"BalisageArmor":  {4, 4},
+		"SillasDelValle": {3, 3},
 	}
 
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			runCalm(t, startHosted(t, c.network, c.entries, c.agents))
+			runCalm(t, startHosted(t, c.entries, c.agents))
 		})
 	}
 }
@@ -95,7 +95,7 @@
 func TestHostedCancel(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 12, 2, 2)
+	h := startHosted(t, 2, 2)
 
 	h.planRuns(time.Minute)
 
@@ -124,7 +124,7 @@
 func TestHostedLeaderKilled(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 13, 3, 3)
+	h := startHosted(t, 3, 3)
 
 	h.planRuns(300 * time.Millisecond)
 
@@ -152,7 +152,7 @@
 func TestHostedAllKilled(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 14, 2, 3)
+	h := startHosted(t, 2, 3)
 
 	var ids []string
 	for range 8 {
@@ -177,7 +177,7 @@
 func TestHostedLateOrders(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 15, 2, 3)
+	h := startHosted(t, 2, 3)
 
 	for i, w := range h.workers {
 		r := rand.New(rand.NewPCG(uint64(i), 1))
@@ -206,7 +206,7 @@
 func TestHostedStoreFaults(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 16, 2, 3)
+	h := startHosted(t, 2, 3)
 	ids := []string{h.submit(dependentSteps()...)}
 
 	var (
@@ -236,7 +236,7 @@
 func TestHostedWorkerRestarted(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 17, 2, 2)
+	h := startHosted(t, 2, 2)
 
 	h.planRuns(400 * time.Millisecond)
 
@@ -253,19 +253,16 @@
 func TestHostedSteppedBack(t *testing.T) {
 	t.Parallel()
 
-	tests := map[string]struct {
-		network int
-		id      string
-	}{
-		"SameID":  {74, "i-1"},
-		"OtherID": {75, "i-9"},
+	tests := map[string]struct{ id string }{
+		"SameID":  {"i-1"},
+		"OtherID": {"i-9"},
 	}
 
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 
-			h := startHosted(t, c.network, 1, 1)
+			h := startHosted(t, 1, 1)
 			h.planRuns(400 * time.Millisecond)
 
 			id := h.submit(dependentSteps()...)
@@ -283,7 +280,7 @@
 func TestHostedRefusedConnections(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 76, 1, 2)
+	h := startHosted(t, 1, 2)
 	h.planRuns(3 * time.Second)
 
 	id := h.submit(job.Step{
@@ -302,7 +299,7 @@
 func TestHostedLeaveNotice(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 73, 1, 2)
+	h := startHosted(t, 1, 2)
 	h.planRuns(3 * time.Second)
 
 	id := h.submit(job.Step{
@@ -335,7 +332,7 @@
 		default:
 		}
 
-		assert.NilError(t, h.workers[i].NotifyLeave(t.Context(), fmt.Sprintf("127.73.2.%d:8082", i+1)))
+		assert.NilError(t, h.workers[i].NotifyLeave(t.Context(), fmt.Sprintf("127.%d.2.%d:8082", h.network, i+1)))
 		time.Sleep(5 * time.Millisecond)
 	}
 
@@ -349,7 +346,7 @@
 func TestHostedTermination(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 18, 2, 2)
+	h := startHosted(t, 2, 2)
 	ids := []string{h.submit(dependentSteps()...)}
 
 	h.awaitAnyLeader()
@@ -368,7 +365,7 @@
 func TestHostedStoreRefusesEntry(t *testing.T) {
 	t.Parallel()
 
-	h := startHosted(t, 19, 3, 2)
+	h := startHosted(t, 3, 2)
 	ids := []string{h.submit(dependentSteps()...)}
 	// From here on an entry leads and is connected to the others. An entry that the
 	// store refuses earlier can only refuse its callers.
