Don't write the list of absent nodes before the nodes are known

Cause, the first of two: watchAbsences starts beside watchNodes. Until AwaitReports has marked the listed nodes, the fleet knows no absent ones, and the new leader wrote an empty list 0.1 s after its start. The next leader waited 6.4 s for nodes that were gone.

TestAbsencesKeptUntilNodesKnown failed before.

Change: Fleet.Absent says whether it knows the nodes, and nothing is written while it doesn't. Three tests now call AwaitReports first, as a leader does.

--- a/coordinator/absences.go
+++ b/coordinator/absences.go
@@ -89,9 +89,9 @@
 	}
 
 	l.mu.Lock()
-	absent := l.absentNodes()
+	absent, known := l.absentNodes()
 	version := l.absences.Version
-	write := l.absences.BeginWrite(absent)
+	write := known && l.absences.BeginWrite(absent)
 	l.mu.Unlock()
 
 	if !write {
@@ -122,16 +122,22 @@
 // maxAbsenceBytes is the largest size of the row. The store may count a value as it is sent, in base64.
 func (l *leader) maxAbsenceBytes() int { return l.c.settings.Store.RowLimit() / 4 * 3 }
 
-// absentNodes returns the names of the absent sidecars that have no session, as many as fit into the row.
-// The caller holds l.mu.
-func (l *leader) absentNodes() []string {
+// absentNodes returns the names of the absent sidecars that have no session, as many as fit into the row,
+// and false while the nodes are not known. The caller holds l.mu.
+func (l *leader) absentNodes() ([]string, bool) {
+	now := l.c.now()
+
+	listed, known := l.fleet.Absent(now)
+	if !known {
+		return nil, false
+	}
+
 	var absent []string
 
-	now := l.c.now()
 	// The brackets of the list.
 	size := 2
 
-	for _, name := range l.fleet.Absent(now) {
+	for _, name := range listed {
 		n := l.nodes[name]
 		if n == nil || n.session != nil || now < n.returningUntil {
 			continue
@@ -148,7 +154,7 @@
 		absent = append(absent, name)
 	}
 
-	return absent
+	return absent, true
 }
 
 // commitAbsences writes the row on the condition that no later term has begun and that the row has
--- a/coordinator/absences_test.go
+++ b/coordinator/absences_test.go
@@ -56,6 +56,7 @@
 			l.nodes[n.Name] = &nodeLink{node: n}
 
 			now := l.c.now()
+			l.fleet.AwaitReports(now, nil, nil)
 			l.fleet.Add(now, 0, job.Record{
 				ID:   running[0].Task.Job,
 				Spec: job.Spec{Steps: []job.Step{{Count: 1}}},
@@ -85,6 +86,7 @@
 func TestAbsencesOfLongNames(t *testing.T) {
 	s := emulator.NewRowStore()
 	l := newTestLeader(t, s)
+	l.fleet.AwaitReports(0, nil, nil)
 
 	for i := range maxAbsences {
 		name := fmt.Sprintf("%0200d", i)
@@ -124,6 +126,10 @@
 	_, ok := l.applyNodeRow(t.Context(), row)
 	assert.Assert(t, ok)
 
+	l.mu.Lock()
+	l.fleet.AwaitReports(l.c.now(), []string{n.Name}, l.absences.Listed())
+	l.mu.Unlock()
+
 	report := &peerpb.Frame{Body: &peerpb.Frame_WorkerReport{WorkerReport: &peerpb.WorkerReport{Full: true}}}
 	ping := &peerpb.Frame{Body: &peerpb.Frame_Ping{Ping: &peerpb.Ping{Number: 1}}}
 
@@ -211,6 +217,31 @@
 	assert.Equal(t, len(l.absences.Listed()), 1)
 }
 
+// TestAbsencesKeptUntilNodesKnown guards against a new leader that empties the row of absent sidecars
+// since it doesn't know the nodes yet. Its successor waited for the reports of all of them.
+func TestAbsencesKeptUntilNodesKnown(t *testing.T) {
+	l := newTestLeader(t, emulator.NewRowStore())
+
+	version, err := l.commitAbsences(t.Context(), []string{"side-2", "side-3"}, 0)
+	assert.NilError(t, err)
+	assert.NilError(t, l.loadAbsences(t.Context()))
+
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.Equal(t, l.absences.Version, version)
+	assert.Equal(t, len(l.absences.Listed()), 2)
+
+	// Both are in the node table, and one of them is back.
+	l.nodes["side-2"] = &nodeLink{node: peer.Node{Name: "side-2"}}
+	l.nodes["side-3"] = &nodeLink{
+		node:    peer.Node{Name: "side-3"},
+		session: &peer.Session{},
+	}
+	l.fleet.AwaitReports(l.c.now(), []string{"side-2", "side-3"}, l.absences.Listed())
+
+	assert.NilError(t, l.storeAbsences(t.Context()))
+	assert.DeepEqual(t, l.absences.Listed(), map[string]bool{"side-2": true})
+}
+
 // TestUnreadableAbsences guards against nodes that are not waited for because of a row that can be decoded
 // in part.
 func TestUnreadableAbsences(t *testing.T) {
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -75,6 +75,8 @@
 			l.fleet.AwaitReports(l.c.now(), sidecars, l.absences.Listed())
 			l.mu.Unlock()
 			notify(l.wake)
+			// A listed sidecar may have connected before.
+			notify(l.absenceEnded)
 		}
 
 		return p.Version, nil
--- a/core/fleet/absences.go
+++ b/core/fleet/absences.go
@@ -15,8 +15,13 @@
 
 // Absent returns the nodes, sorted, that are out of contact and whose workers certainly hold no lease:
 // either nothing ran there, or the leases have expired since. A node stops being absent with its
-// first full report.
-func (f *Fleet) Absent(now time.Duration) []string {
+// first full report. It returns false before AwaitReports is called: until then it doesn't know those that
+// were absent under the previous leader.
+func (f *Fleet) Absent(now time.Duration) ([]string, bool) {
+	if !f.nodesKnown {
+		return nil, false
+	}
+
 	f.awaitsReports(now)
 	f.expireRuns(now)
 
@@ -26,7 +31,7 @@
 		}
 	}
 
-	return slices.Sorted(maps.Keys(f.absent))
+	return slices.Sorted(maps.Keys(f.absent)), true
 }
 
 // idleAbsent reports whether a worker ran nothing when its node's session ended, so that it holds no
--- a/core/fleet/world_absence_test.go
+++ b/core/fleet/world_absence_test.go
@@ -63,10 +63,10 @@
 		return
 	}
 
-	absent := l.absentNodes()
+	absent, known := l.absentNodes()
 	expected := map[string]int64{"term": l.termVersion, "absent": l.absences.Version}
 
-	if !l.absences.BeginWrite(absent) {
+	if !known || !l.absences.BeginWrite(absent) {
 		done()
 
 		return
@@ -95,16 +95,17 @@
 	})
 }
 
-func (l *leader) absentNodes() []string {
+func (l *leader) absentNodes() ([]string, bool) {
 	var absent []string
 
-	for _, name := range l.fleet.Absent(l.e.w.now) {
+	listed, known := l.fleet.Absent(l.e.w.now)
+	for _, name := range listed {
 		if n := l.links[name]; n != nil && n.session == nil && !n.returning {
 			absent = append(absent, name)
 		}
 	}
 
-	return absent
+	return absent, known
 }
 
 // reopenHeld closes the sessions of agents that the row no longer lists.
