Don't count a node as absent on which a task may run or has an unstored end

The next leader doesn't wait for the report of a node in the row of absent nodes, and would start its tasks a second time.

Cause: a worker without a session counted as idle a second after its last contact if the leader knew no runs there. The leader may not know: the node has sent a report in part only, or the end of a run is known and not stored yet, so that only the node's report tells the next leader of it.

Change: a node that has sent no full report in this term is not idle, and ends that are not stored count as leases until MaxLeaseTime after the last contact, as runs do.

--- a/core/fleet/absences.go
+++ b/core/fleet/absences.go
@@ -26,7 +26,8 @@
 	f.expireRuns(now)
 
 	for _, w := range f.sortedWorkers {
-		if w.idleAbsent(now) {
+		// A report that was not full doesn't say what runs there.
+		if !f.unreported[w.node] && w.idleAbsent(now) {
 			f.markAbsent(w.node)
 		}
 	}
@@ -34,12 +35,30 @@
 	return slices.Sorted(maps.Keys(f.absent)), true
 }
 
-// idleAbsent reports whether a worker ran nothing when its node's session ended, so that it holds no
-// lease.
+// idleAbsent reports whether a worker has had no session for idleAbsenceDelay and holds no lease.
 func (w *workerInfo) idleAbsent(now time.Duration) bool {
-	stray := w.strayAt > 0 && now < w.strayAt+MaxLeaseTime
+	return !w.connected && w.leasesLeft(now) == 0 && now >= w.lastContact+idleAbsenceDelay
+}
+
+// leasesLeft returns the longest time for which leases may last on a worker, if it has no contact from now
+// on. Ends that are not stored count as leases: the next leader learns of them by the node's report only, and
+// would start their tasks again. The task of an end that is reported later than that may run again.
+func (w *workerInfo) leasesLeft(now time.Duration) time.Duration {
+	end := now
+	if len(w.runs) > 0 || w.hasUnrecordedEnds() {
+		end = max(end, w.lastContact+MaxLeaseTime)
+	}
+
+	if w.strayAt > 0 {
+		end = max(end, w.strayAt+MaxLeaseTime)
+	}
+
+	return end - now
+}
 
-	return !w.connected && len(w.runs) == 0 && !stray && now >= w.lastContact+idleAbsenceDelay
+func (w *workerInfo) hasUnrecordedEnds() bool {
+	return w.lastEnd.number > 0 &&
+		(w.lastEnd.incarnation != w.lastRecorded.incarnation || w.lastEnd.number > w.lastRecorded.number)
 }
 
 // Absences is a leader's view of the stored row that lists the absent nodes. The load that it
--- a/core/fleet/progress.go
+++ b/core/fleet/progress.go
@@ -205,6 +205,10 @@
 	var recorded []RecordedEnds
 
 	for node, r := range b.endMarks {
+		if w := f.workers[node]; w != nil {
+			w.lastRecorded = r
+		}
+
 		recorded = append(recorded, RecordedEnds{
 			Node:        node,
 			Incarnation: r.incarnation,
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -27,6 +27,8 @@
 	// strayAt is when the worker last listed a run that isn't one of runs, 0 if never.
 	strayAt time.Duration
 	runs    map[job.TaskID]*run
+	// lastEnd is the last end that was processed, and lastRecorded the last one that is stored.
+	lastEnd, lastRecorded endMark
 
 	// used is the sum of the sizes of all tasks, without the processor time of
 	// filling tasks.
@@ -205,6 +207,7 @@
 
 	n.number = max(n.number, e.Number)
 	f.laterMarks[w.node] = n
+	w.lastEnd = n
 }
 
 // updateRun processes a run that a worker lists. It stops the run if its job is unknown
