Hand over between leaders for how long to wait for nodes out of contact

Cause, the second of two: a node that is lost around a change of leaders was awaited for 6.4 s by each leader from its own start. Where none leads for that long, none stores the absence, and no task of a loaded job starts until the first report or the end of a wait.

Change: a leader that resigns writes, with the release of its lease, which nodes run nothing, and the reading of the store's clock at which leases have ended on those out of contact. The next leader waits no longer.

Why it works: the leader acts no more when it writes the row, so that nothing it says becomes untrue. The row holds for the next term only, since a leader in between may have given leases. Times are upper bounds on the store's clock. What has ended and isn't stored counts as a lease.

Tried (trials): to hand over only nodes out of contact.

--- a/coordinator/absences.go
+++ b/coordinator/absences.go
@@ -27,8 +27,8 @@
 	returnTime = fleet.MaxLeaseTime
 )
 
-// loadAbsences reads the row of absent sidecars. It is called once this leader's term is
-// stored, after which no earlier leader can write it.
+// loadAbsences reads the rows of absent sidecars and of the previous leader's handover. It is called once
+// this leader's term is stored, after which no earlier leader can write them.
 func (l *leader) loadAbsences(ctx context.Context) error {
 	p, err := l.readAll(ctx, leadTable, leadPart)
 	if err != nil {
@@ -37,7 +37,13 @@
 
 	absences := fleet.NewAbsences(nil, 0)
 
+	var handedOver map[string]time.Duration
+
 	for _, r := range p.Rows {
+		if r.Key == handoverKey {
+			handedOver = l.readHandover(r, p.Clock)
+		}
+
 		if r.Key != absentKey {
 			continue
 		}
@@ -56,7 +62,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	l.absences = absences
+	l.absences, l.handedOver = absences, handedOver
 
 	return nil
 }
--- a/coordinator/absences_test.go
+++ b/coordinator/absences_test.go
@@ -56,7 +56,7 @@
 			l.nodes[n.Name] = &nodeLink{node: n}
 
 			now := l.c.now()
-			l.fleet.AwaitReports(now, nil, nil)
+			l.fleet.AwaitReports(now, nil, nil, nil)
 			l.fleet.Add(now, 0, job.Record{
 				ID:   running[0].Task.Job,
 				Spec: job.Spec{Steps: []job.Step{{Count: 1}}},
@@ -75,7 +75,7 @@
 			next := newLeader(l.c, 2, l.lease)
 			assert.NilError(t, next.loadAbsences(t.Context()))
 
-			next.fleet.AwaitReports(now, []string{n.Name}, next.absences.Listed())
+			next.fleet.AwaitReports(now, []string{n.Name}, next.absences.Listed(), next.handedOver)
 			assert.Equal(t, next.fleet.MissingReports(), c.missing)
 		})
 	}
@@ -86,7 +86,7 @@
 func TestAbsencesOfLongNames(t *testing.T) {
 	s := emulator.NewRowStore()
 	l := newTestLeader(t, s)
-	l.fleet.AwaitReports(0, nil, nil)
+	l.fleet.AwaitReports(0, nil, nil, nil)
 
 	for i := range maxAbsences {
 		name := fmt.Sprintf("%0200d", i)
@@ -127,7 +127,7 @@
 	assert.Assert(t, ok)
 
 	l.mu.Lock()
-	l.fleet.AwaitReports(l.c.now(), []string{n.Name}, l.absences.Listed())
+	l.fleet.AwaitReports(l.c.now(), []string{n.Name}, l.absences.Listed(), l.handedOver)
 	l.mu.Unlock()
 
 	report := &peerpb.Frame{Body: &peerpb.Frame_WorkerReport{WorkerReport: &peerpb.WorkerReport{Full: true}}}
@@ -166,7 +166,7 @@
 	assert.NilError(t, l.loadAbsences(t.Context()))
 
 	now := l.c.now()
-	l.fleet.AwaitReports(now, []string{n.Name}, l.absences.Listed())
+	l.fleet.AwaitReports(now, []string{n.Name}, l.absences.Listed(), l.handedOver)
 
 	row, err := n.Row()
 	assert.NilError(t, err)
@@ -236,7 +236,7 @@
 		node:    peer.Node{Name: "side-3"},
 		session: &peer.Session{},
 	}
-	l.fleet.AwaitReports(l.c.now(), []string{"side-2", "side-3"}, l.absences.Listed())
+	l.fleet.AwaitReports(l.c.now(), []string{"side-2", "side-3"}, l.absences.Listed(), l.handedOver)
 
 	assert.NilError(t, l.storeAbsences(t.Context()))
 	assert.DeepEqual(t, l.absences.Listed(), map[string]bool{"side-2": true})
--- a/coordinator/admission_test.go
+++ b/coordinator/admission_test.go
@@ -20,7 +20,7 @@
 	l := newTestLeader(t, emulator.NewRowStore())
 	l.c.settings.Scheduling.Admission = true
 	l.fleet.Order = backlog.Fair
-	l.fleet.AwaitReports(l.c.now(), nil, nil)
+	l.fleet.AwaitReports(l.c.now(), nil, nil, nil)
 
 	return l
 }
--- a/coordinator/election.go
+++ b/coordinator/election.go
@@ -182,8 +182,8 @@
 }
 
 // putLease writes the lease, on the condition that the term and lease rows still have
-// the versions in ls. With newTerm, it also writes the term row.
-func (c *Coordinator) putLease(ctx context.Context, ls leaseState, newTerm bool) (leaseState, error) {
+// the versions in ls, and more rows of leadPart with it. With newTerm, it also writes the term row.
+func (c *Coordinator) putLease(ctx context.Context, ls leaseState, newTerm bool, more ...rows.Row) (leaseState, error) {
 	value, err := json.Marshal(ls.record)
 	if err != nil {
 		return leaseState{}, fmt.Errorf("encode lease: %w", err)
@@ -203,11 +203,11 @@
 				Version: ls.leaseVersion,
 			},
 		},
-		Set: []rows.Row{{
+		Set: append([]rows.Row{{
 			Table: leadTable,
 			Key:   leaseKey,
 			Value: value,
-		}},
+		}}, more...),
 	}
 
 	if newTerm {
--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -66,6 +66,9 @@
 	rejections rejections
 	// absences is the row of absent sidecars.
 	absences fleet.Absences
+	// handedOver has the local times at which leases have ended on sidecars that were out of contact
+	// with the previous leader.
+	handedOver map[string]time.Duration
 	// repeats limits the log lines about checkpoints that can't be stored, and about admission.
 	repeats jsonlog.Repeats
 
@@ -313,8 +316,8 @@
 	return errResigned
 }
 
-// release tries to release the lease. It reports whether another try can't change anything. The
-// lease may have been renewed, or released, by a write whose answer was lost.
+// release tries to release the lease, and hands over to the next leader. It reports whether another try
+// can't change anything. The lease may have been renewed, or released, by a write whose answer was lost.
 func (l *leader) release(ctx context.Context) bool {
 	l.leaseMu.Lock()
 	ls := l.lease
@@ -322,7 +325,12 @@
 
 	ls.record.Expiry = 0
 
-	_, err := l.c.putLease(ctx, ls, false)
+	var more []rows.Row
+	if r, ok := l.handoverRow(); ok {
+		more = append(more, r)
+	}
+
+	_, err := l.c.putLease(ctx, ls, false, more...)
 	if err == nil {
 		return true
 	}
--- a/coordinator/nodes.go
+++ b/coordinator/nodes.go
@@ -72,7 +72,7 @@
 			first = false
 
 			l.mu.Lock()
-			l.fleet.AwaitReports(l.c.now(), sidecars, l.absences.Listed())
+			l.fleet.AwaitReports(l.c.now(), sidecars, l.absences.Listed(), l.handedOver)
 			l.mu.Unlock()
 			notify(l.wake)
 			// A listed sidecar may have connected before.
--- a/coordinator/store.go
+++ b/coordinator/store.go
@@ -169,6 +169,14 @@
 	return c.clock.Latest(c.now()), true
 }
 
+// storeClockAt returns an upper bound of the store's clock at a local time, past or to come.
+func (c *Coordinator) storeClockAt(local time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.clock.Latest(local)
+}
+
 // storeReachable reports whether a request to the store is likely to succeed, directly
 // or through a peer.
 func (c *Coordinator) storeReachable() bool {
--- a/core/fleet/absences.go
+++ b/core/fleet/absences.go
@@ -27,7 +27,7 @@
 
 	for _, w := range f.sortedWorkers {
 		// A report that was not full doesn't say what runs there.
-		if !f.unreported[w.node] && w.idleAbsent(now) {
+		if !f.awaits(w.node) && w.idleAbsent(now) {
 			f.markAbsent(w.node)
 		}
 	}
@@ -35,6 +35,14 @@
 	return slices.Sorted(maps.Keys(f.absent)), true
 }
 
+// awaits reports whether a node has sent no full report in this term and may still do so.
+func (f *Fleet) awaits(node string) bool {
+	_, unreported := f.unreported[node]
+	_, idle := f.idle[node]
+
+	return unreported || idle
+}
+
 // idleAbsent reports whether a worker has had no session for idleAbsenceDelay and holds no lease.
 func (w *workerInfo) idleAbsent(now time.Duration) bool {
 	return !w.connected && w.leasesLeft(now) == 0 && now >= w.lastContact+idleAbsenceDelay
--- a/core/fleet/absences_test.go
+++ b/core/fleet/absences_test.go
@@ -52,7 +52,7 @@
 	for name, arrange := range tests {
 		t.Run(name, func(t *testing.T) {
 			f := New(2)
-			f.AwaitReports(0, []string{"n1"}, nil)
+			f.AwaitReports(0, []string{"n1"}, nil, nil)
 			arrange(t, f)
 
 			absent, known := f.Absent(MaxLeaseTime - time.Second)
--- a/core/fleet/backlog.go
+++ b/core/fleet/backlog.go
@@ -51,7 +51,7 @@
 // returns nil as long as that is not known: until all nodes have reported that may run tasks of the
 // previous leader. It is called at regular intervals of at most a second.
 func (f *Fleet) Loads(now time.Duration) []*backlog.Load {
-	if !f.nodesKnown || len(f.unreported) > 0 {
+	if !f.nodesKnown || len(f.unreported) > 0 || len(f.idle) > 0 {
 		clear(f.work.done)
 
 		return nil
--- a/core/fleet/backlog_test.go
+++ b/core/fleet/backlog_test.go
@@ -30,7 +30,7 @@
 	f.Report(0, "n1", described("n1"))
 	assert.Equal(t, len(f.Loads(0)), 0)
 
-	f.AwaitReports(0, []string{"n1", "n2"}, nil)
+	f.AwaitReports(0, []string{"n1", "n2"}, nil, nil)
 	assert.Equal(t, len(f.Loads(0)), 0)
 
 	f.Report(0, "n2", described("n2"))
@@ -40,7 +40,7 @@
 // TestLoads checks what a load says of workers and jobs.
 func TestLoads(t *testing.T) {
 	f := fairFleet()
-	f.AwaitReports(0, nil, nil)
+	f.AwaitReports(0, nil, nil, nil)
 
 	big := described("n2")
 	big.Capacity.MemoryMB = 20_000
@@ -112,7 +112,7 @@
 	const period = 250 * time.Millisecond
 
 	f := fairFleet()
-	f.AwaitReports(0, nil, nil)
+	f.AwaitReports(0, nil, nil, nil)
 
 	running := []gate.StartOrder{}
 	now := time.Duration(0)
--- a/core/fleet/checkpoints_test.go
+++ b/core/fleet/checkpoints_test.go
@@ -155,7 +155,7 @@
 
 	next := New(2)
 	assert.NilError(t, next.Load(0, 0, record(jobA, step(2)), stored, false))
-	next.AwaitReports(0, []string{"n2"}, nil)
+	next.AwaitReports(0, []string{"n2"}, nil, nil)
 	next.Report(0, "n2", described("n2"))
 
 	list := starts(next.Schedule(0, time.Time{}))["n2"]
--- a/core/fleet/colocation_test.go
+++ b/core/fleet/colocation_test.go
@@ -18,7 +18,7 @@
 func newColocationFleet(workers int) *Fleet {
 	f := New(1)
 	f.Colocation = true
-	f.AwaitReports(0, nil, nil)
+	f.AwaitReports(0, nil, nil, nil)
 
 	for i := range workers {
 		r := described(fmt.Sprintf("n%d", i+1))
@@ -299,8 +299,7 @@
 // start it elsewhere, as it still awaits the report of a node: the task was out of service until then.
 func TestNoServingMoveWhileStartsWait(t *testing.T) {
 	f := movableServing(t)
-	f.unreported["n3"] = true
-	f.reportDeadline = MaxLeaseTime
+	f.unreported["n3"] = MaxLeaseTime
 
 	assert.Equal(t, stops(f.Schedule(6*time.Second, time.Time{})), 0)
 	assert.Equal(t, len(f.ServingMoves()), 0)
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -111,11 +111,13 @@
 	orders        map[string]*Orders
 	// unreported has the nodes that have not reported in this term. The tasks that
 	// the previous leader started there are unknown until the node reports or, at
-	// reportDeadline, their leases have expired.
-	unreported     map[string]bool
-	reportDeadline time.Duration
+	// the time given, their leases have expired.
+	unreported map[string]time.Duration
 	// nodesKnown means that AwaitReports was called.
 	nodesKnown bool
+	// idle has the nodes that have not reported in this term and on which nothing ran at its
+	// beginning. They are absent at the time given.
+	idle map[string]time.Duration
 	// absent has the nodes that Absent returns.
 	absent map[string]bool
 
@@ -167,7 +169,8 @@
 		workers:    map[string]*workerInfo{},
 		rejected:   rejectedSizes{},
 		orders:     map[string]*Orders{},
-		unreported: map[string]bool{},
+		unreported: map[string]time.Duration{},
+		idle:       map[string]time.Duration{},
 		absent:     map[string]bool{},
 
 		changed:      map[string]*jobInfo{},
@@ -187,19 +190,26 @@
 // AwaitReports adds nodes that may run tasks of the previous leader and whose
 // reports Schedule waits for. It is called when this process becomes the leader and
 // knows the nodes. Until then, Schedule starts no task of a loaded job. Nodes that were
-// absent under the previous leader are not awaited.
-func (f *Fleet) AwaitReports(now time.Duration, nodes []string, absent map[string]bool) {
+// absent under the previous leader are not awaited, and those in leaseEnds until then at
+// most: it has the time at which leases have ended there, if the previous leader knew it.
+func (f *Fleet) AwaitReports(now time.Duration, nodes []string, absent map[string]bool, leaseEnds map[string]time.Duration) {
 	for _, n := range nodes {
+		deadline := now + MaxLeaseTime
+		if end, ok := leaseEnds[n]; ok {
+			deadline = min(deadline, end)
+		}
+
 		switch w := f.workers[n]; {
 		case w != nil && w.connected:
 		case absent[n]:
 			f.markAbsent(n)
+		case deadline <= now:
+			f.idle[n] = now + MaxLeaseTime
 		default:
-			f.unreported[n] = true
+			f.unreported[n] = deadline
 		}
 	}
 
-	f.reportDeadline = now + MaxLeaseTime
 	f.nodesKnown = true
 }
 
@@ -209,17 +219,21 @@
 // awaitsReports reports whether tasks of the previous leader may run on nodes that
 // have not reported.
 func (f *Fleet) awaitsReports(now time.Duration) bool {
-	if len(f.unreported) > 0 && now >= f.reportDeadline {
-		f.unawaited = slices.Sorted(maps.Keys(f.unreported))
+	f.stopAwaiting(now, f.unreported)
+	f.stopAwaiting(now, f.idle)
+
+	return !f.nodesKnown || len(f.unreported) > 0
+}
 
-		for _, n := range f.unawaited {
+// stopAwaiting marks the nodes as absent whose time has come.
+func (f *Fleet) stopAwaiting(now time.Duration, deadlines map[string]time.Duration) {
+	for _, n := range slices.Sorted(maps.Keys(deadlines)) {
+		if now >= deadlines[n] {
+			f.unawaited = append(f.unawaited, n)
 			f.markAbsent(n)
+			delete(deadlines, n)
 		}
-
-		clear(f.unreported)
 	}
-
-	return !f.nodesKnown || len(f.unreported) > 0
 }
 
 // Schedule places the tasks that may start and returns the orders that arose since
@@ -306,8 +320,8 @@
 		}
 	}
 
-	if len(f.unreported) > 0 {
-		earlier(f.reportDeadline)
+	for _, deadline := range f.unreported {
+		earlier(deadline)
 	}
 
 	earlier(f.rackWake())
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -150,7 +150,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := New(2)
 			assert.NilError(t, f.Load(0, 0, record(jobA, step(1)), nil, false))
-			f.AwaitReports(0, []string{"n1", "n2", "n3"}, nil)
+			f.AwaitReports(0, []string{"n1", "n2", "n3"}, nil, nil)
 
 			for i, a := range attempts {
 				f.RecordEnd(0, "n1", end("n1", int64(i+1), jobA, a, gate.Failed).End)
--- a/core/fleet/histories_test.go
+++ b/core/fleet/histories_test.go
@@ -45,6 +45,10 @@
 			killAgent: 0.1, pauseAgent: 0.2, killEntry: 0.03, pauseEntry: 0.03, resign: 0.1, cut: 0.1, silent: 0.1, loseWrite: 0.1,
 			pauseInside: 0.002, maxDelay: 100 * time.Millisecond, absences: true, longerPause: fleet.MaxLeaseTime,
 		},
+		"handovers": {
+			resign: 0.8, killAgent: 0.2, pauseAgent: 0.2, crash: 0.1, leave: 0.05, killEntry: 0.03, pauseEntry: 0.05, cut: 0.4, silent: 0.1, loseWrite: 0.2,
+			pauseInside: 0.002, maxDelay: 100 * time.Millisecond, absences: true, longerPause: fleet.MaxLeaseTime,
+		},
 		"crowded": {
 			killAgent: 0.1, killEntry: 0.05, resign: 0.05, cut: 0.1, crash: 0.08, silent: 0.1, leave: 0.03, loseCall: 0.02, maxDelay: 50 * time.Millisecond,
 			crowded: true,
@@ -132,6 +136,20 @@
 	assert.Assert(t, w.resumptions > 0)
 }
 
+// TestHandoverHistory checks that leaders of the histories with handovers know of nodes that are out of
+// contact from the leader before, so that TestHistories checks the rules with them.
+func TestHandoverHistory(t *testing.T) {
+	handedOver := 0
+
+	for seed := range uint64(11) {
+		w := newWorld(seed, histories()["handovers"])
+		w.runHistory()
+		handedOver += w.handedOver
+	}
+
+	assert.Assert(t, handedOver > 0)
+}
+
 // TestReservedHistory checks that leaders of crowded histories make reservations, so that
 // TestHistories checks the rules with them.
 func TestReservedHistory(t *testing.T) {
--- a/core/fleet/restart_test.go
+++ b/core/fleet/restart_test.go
@@ -187,7 +187,7 @@
 	f.Report(0, "n2", described("n2"))
 	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 0)
 
-	f.AwaitReports(0, []string{"n1", "n2"}, nil)
+	f.AwaitReports(0, []string{"n1", "n2"}, nil, nil)
 	assert.Equal(t, len(starts(f.Schedule(0, time.Time{}))), 0)
 
 	r := described("n1")
@@ -278,7 +278,7 @@
 		t.Run(string(reason), func(t *testing.T) {
 			f := New(2)
 			assert.NilError(t, f.Load(0, 0, record(jobA, step(1)), nil, false))
-			f.AwaitReports(0, []string{"n1", "n2"}, nil)
+			f.AwaitReports(0, []string{"n1", "n2"}, nil, nil)
 			f.Report(MaxLeaseTime, "n2", described("n2"))
 
 			next := starts(f.Schedule(MaxLeaseTime, time.Time{}))["n2"]
--- a/core/fleet/workers.go
+++ b/core/fleet/workers.go
@@ -190,6 +190,7 @@
 
 	if r.Full {
 		delete(f.unreported, node)
+		delete(f.idle, node)
 		delete(f.absent, node)
 	}
 }
--- a/core/fleet/world_absence_test.go
+++ b/core/fleet/world_absence_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoildeck/core/fleet"
+	"trefoildeck/core/lease"
 	"trefoildeck/io/rows"
 )
 
@@ -26,10 +27,11 @@
 	var (
 		absent  []string
 		version int64
+		passed  handover
 	)
 
 	l.e.call(func() stamp {
-		absent, version = slices.Clone(w.store.absent), w.store.versions["absent"]
+		absent, version, passed = slices.Clone(w.store.absent), w.store.versions["absent"], w.store.handover
 
 		return stamp{clock: w.now}
 	}, func(r stamp) {
@@ -39,6 +41,7 @@
 			l.after(retryPause, func() { l.loadAbsences(done) })
 		default:
 			l.absences = fleet.NewAbsences(absent, version)
+			l.takeOver(passed, r.clock)
 
 			done()
 		}
@@ -117,3 +120,42 @@
 		}
 	}
 }
+
+// handover is the row with which a leader hands over, as in package coordinator.
+type handover struct {
+	term int64
+	ends map[string]time.Duration
+}
+
+// handOver returns the write of the row, by a leader that acts no more.
+func (l *leader) handOver() func() {
+	passed := handover{
+		term: l.term,
+		ends: map[string]time.Duration{},
+	}
+
+	left, _ := l.fleet.LeasesLeft(l.e.w.now)
+	for name, d := range left {
+		passed.ends[name] = 0
+		if d > 0 {
+			passed.ends[name] = l.e.clock.Latest(l.e.w.now + d)
+		}
+	}
+
+	return func() { l.e.w.store.handover = passed }
+}
+
+func (l *leader) takeOver(passed handover, reading time.Duration) {
+	l.handedOver = nil
+
+	if passed.term != l.term-1 {
+		return
+	}
+
+	l.handedOver = map[string]time.Duration{}
+
+	for name, end := range passed.ends {
+		l.handedOver[name] = l.e.w.now + lease.Wait(reading, end)
+		l.e.w.handedOver++
+	}
+}
--- a/core/fleet/world_leader_test.go
+++ b/core/fleet/world_leader_test.go
@@ -52,6 +52,8 @@
 	timer                int
 	flushing, flushAgain bool
 	absences             fleet.Absences
+	// handedOver is that of package coordinator.
+	handedOver map[string]time.Duration
 }
 
 // link keeps a session with an agent open.
@@ -128,7 +130,7 @@
 }
 
 // putLease writes the lease if nobody has written it since it was read.
-func (l *leader) putLease(record lease.Record, newTerm bool, done func(stamp)) {
+func (l *leader) putLease(record lease.Record, newTerm bool, done func(stamp), more ...func()) {
 	w := l.e.w
 	expected := map[string]int64{
 		"term":  l.termVersion,
@@ -143,6 +145,10 @@
 			if newTerm {
 				w.store.versions["term"] = w.store.version
 			}
+
+			for _, write := range more {
+				write()
+			}
 		})
 	}, func(r stamp) {
 		if r.err == nil {
@@ -279,7 +285,7 @@
 		copied.putLease(record, false, func(stamp) {
 			l.end("resigned")
 			done()
-		})
+		}, l.handOver())
 	})
 }
 
@@ -415,7 +421,7 @@
 				first = false
 				// The links are open before the last row is applied.
 				l.after(w.delay(), func() {
-					l.fleet.AwaitReports(w.now, names, l.absences.Listed())
+					l.fleet.AwaitReports(w.now, names, l.absences.Listed(), l.handedOver)
 					l.wake()
 				})
 			}
--- a/core/fleet/world_test.go
+++ b/core/fleet/world_test.go
@@ -41,6 +41,8 @@
 	store    store
 	// absences counts the writes of the row of absent agents.
 	absences int
+	// handedOver counts the nodes whose leases a leader knew the end of from the one before.
+	handedOver int
 	// resumptions counts the starts from checkpoints.
 	resumptions int
 	// doneAt has when a task's last end was taken note of that can't be taken back, and
@@ -328,6 +330,8 @@
 	nodes map[string]int
 	// absent is the row of absent agents.
 	absent []string
+	// handover is the row of a leader that resigned.
+	handover handover
 }
 
 // stamp is the answer of the store. With an error, conflicts has the present versions.
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -97,6 +97,13 @@
 	return c.reading + age + age/driftDivisor
 }
 
+// Wait returns how long to wait, on a local clock, after the store's clock has shown reading until it
+// certainly shows end. It is not positive if end has passed.
+func Wait(reading, end time.Duration) time.Duration {
+	// The local clock may be the faster one.
+	return (end - reading) * driftDivisor / (driftDivisor - 1)
+}
+
 // Holds reports whether the holder of a lease that expires at expiry, on the
 // store's clock, may act on it at the local time now.
 func Holds(c *Clock, now, expiry time.Duration) bool {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -48,3 +48,20 @@
 		})
 	}
 }
+
+// TestWait checks that the store's clock shows the end after the wait, also if the local clock is 2% faster.
+func TestWait(t *testing.T) {
+	tests := map[string]struct{ reading, end, least time.Duration }{
+		"Ahead":  {10 * time.Second, 20 * time.Second, 10 * time.Second},
+		"Now":    {10 * time.Second, 10 * time.Second, 0},
+		"Passed": {10 * time.Second, 0, -10 * time.Second},
+	}
+
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			wait := Wait(c.reading, c.end)
+			assert.Assert(t, wait >= c.least*driftDivisor/(driftDivisor-1), "%s", wait)
+			assert.Assert(t, wait <= max(0, c.least+c.least/10), "%s", wait)
+		})
+	}
+}
