Keep a job from being stored once its cancelling was answered 410

What callers saw: jobs were handed in to a frozen entry, and their DELETE was answered 410 at another one.

Cause: 410 for a job without a row left nothing in the store. A write that expects no row, by a paused entry or in doubt, took effect later. The entry also wrote for callers that had left.

A transaction isn't sent if its context is done.

Why it works: each write of a job expects the version that it replaces, and nothing replaces a final refusal.

--- a/coordinator/refusals.go
+++ b/coordinator/refusals.go
@@ -59,8 +59,8 @@
 // no earlier write of the row can take effect, since each expects the version that it replaces. If the
 // refusal can't be stored at once, the job is accepted.
 //
-// A refusal in the row is replaced if it is known to be older than the request. Another one may
-// be the answer to a repetition of this request, which must stay true.
+// A refusal in the row is replaced if it is known to be older than the request, unless the job was
+// cancelled. Another one may be the answer to a repetition of this request, which must stay true.
 func (c *Coordinator) storeJob(ctx context.Context, s submission) (repeated bool, err error) {
 	// later means that the row has a refusal that must stay true.
 	refusal, version, later := s.refusal, int64(0), false
@@ -94,6 +94,9 @@
 			return false, err
 		case !isRefusal(row.Value):
 			return true, nil
+		case isCancelled(row.Value):
+			// No write of this job can have an effect any more.
+			return false, &platform.Refusal{Reason: cancelled}
 		case row.Version > s.known:
 			refusal, later = cmp.Or(s.refusal, &platform.Refusal{
 				Reason:     overtaken,
@@ -131,15 +134,9 @@
 // commitRefusal writes a refusal to the row of a job, in place of a version of the row, 0 for none.
 // Its errors are those of rows.Store.
 func (c *Coordinator) commitRefusal(ctx context.Context, id string, version int64, r *platform.Refusal) error {
-	var value refusalRow
-
-	value.Refused.Reason = r.Reason
-	value.Refused.RetryAfter = r.RetryAfter
-	value.Refused.Entry = c.node.Name
-
-	encoded, err := json.Marshal(value)
+	encoded, err := c.encodeRefusal(r)
 	if err != nil {
-		return fmt.Errorf("encode refusal: %w", errors.Join(rows.ErrRefused, err))
+		return fmt.Errorf("refuse: %w", errors.Join(rows.ErrRefused, err))
 	}
 
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
@@ -165,6 +162,21 @@
 	return nil
 }
 
+func (c *Coordinator) encodeRefusal(r *platform.Refusal) ([]byte, error) {
+	var value refusalRow
+
+	value.Refused.Reason = r.Reason
+	value.Refused.RetryAfter = r.RetryAfter
+	value.Refused.Entry = c.node.Name
+
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return nil, fmt.Errorf("encode refusal: %w", err)
+	}
+
+	return encoded, nil
+}
+
 // rowInConflict returns the row of a job that a write found instead of the one that it expected.
 func (c *Coordinator) rowInConflict(ctx context.Context, id string, err error) (rows.Row, error) {
 	var conflict *rows.Conflict
@@ -177,19 +189,17 @@
 		}
 	}
 
-	p, err := c.readJobRows(ctx, id)
-	if err != nil {
+	row, err := c.readJobRow(ctx, id)
+
+	switch {
+	case err != nil:
 		// The row may be that of an earlier attempt of this write.
 		return rows.Row{}, fmt.Errorf("read the row in conflict: %w", platform.InDoubt(err))
+	case row.Version == 0:
+		return rows.Row{}, fmt.Errorf("the row in conflict is gone: %w", platform.ErrUnknown)
+	default:
+		return row, nil
 	}
-
-	for _, r := range p.Rows {
-		if r.Key == id {
-			return r, nil
-		}
-	}
-
-	return rows.Row{}, fmt.Errorf("the row in conflict is gone: %w", platform.ErrUnknown)
 }
 
 // noteVersion records that the store has a version.
--- a/coordinator/relay.go
+++ b/coordinator/relay.go
@@ -31,6 +31,11 @@
 func (c *Coordinator) relayedStore(direct *rows.Store) *rows.Store {
 	return &rows.Store{
 		Commit: func(ctx context.Context, t rows.Transaction) (rows.Stamp, error) {
+			if err := ctx.Err(); err != nil {
+				// Nobody waits for the outcome.
+				return rows.Stamp{}, fmt.Errorf("commit: not sent: %w", errors.Join(rows.ErrRefused, err))
+			}
+
 			stamp, err := c.commitDirect(ctx, direct, t)
 			if !errors.Is(err, rows.ErrRefused) && !errors.Is(err, rows.ErrUnknown) {
 				return stamp, err
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -197,28 +197,6 @@
 	}
 }
 
-// cancel writes a job's cancellation to the store.
-func (c *Coordinator) cancel(ctx context.Context, id string) error {
-	known, _, err := c.readJob(ctx, id)
-
-	switch {
-	case err != nil:
-		err = fmt.Errorf("look for the job: %w", errors.Join(platform.ErrRefused, err))
-	case !known:
-		err = platform.ErrNoJob
-	default:
-		err = c.commit(ctx, rows.Transaction{Part: partOf(id)}, rows.Row{
-			Table: jobTable,
-			Key:   id + cancelSuffix,
-			Value: []byte("{}"),
-		})
-	}
-
-	c.log.Info("JobCancelled", zap.String("Job", id), jsonlog.Error(err))
-
-	return err
-}
-
 // readJob reads from the store whether a job exists and whether it is cancelled. A job that was
 // refused doesn't.
 func (c *Coordinator) readJob(ctx context.Context, id string) (known, cancelled bool, err error) {
