Remove the rows of jobs that are over, and of refusals, from the store

Cause, the second of two: no row of a job, of its progress or of a refusal was ever removed, so that any limit was reached at some time.

Change: ten minutes after a leader has found that a job is over, it removes its rows: that of the job first, then its progress, on the condition of the term. Progress of no job is removed by a later leader. Refusals go ten minutes after the leader has seen them, unless they were replaced.

Why it works: each removal expects the versions that were read, so that a row that is in use again stays. Without its row a job is not loaded, so that a failure between the two steps starts nothing.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -72,6 +72,9 @@
 	// repeats limits the log lines about checkpoints that can't be stored, and about admission.
 	repeats jsonlog.Repeats
 
+	// kept has the jobs whose rows are to be removed, in the order of their times.
+	kept []keptJob
+
 	leaseMu sync.Mutex
 	lease   leaseState
 	// resigned is set before the lease is released.
@@ -179,6 +182,7 @@
 	group.Go(func() error { return l.watchJobs(ctx, after) })
 	group.Go(func() error { return l.persistChanges(ctx) })
 	group.Go(func() error { return l.watchAbsences(ctx) })
+	group.Go(func() error { return l.removeExpired(ctx) })
 	group.Go(func() error { return l.broadcastEstimates(ctx) })
 	group.Go(func() error { return l.broadcastBacklog(ctx) })
 	group.Go(func() error { return l.yieldToStronger(ctx) })
@@ -368,12 +372,22 @@
 		l.setVersion(r.Key, r.Version)
 	}
 
+	count := len(progress)
+
 	after, n, err := l.loadParts(ctx, progress)
 	if err != nil {
 		return 0, err
 	}
 
-	l.c.log.Info("JobsLoaded", zap.Int64("Term", l.term), zap.Int("Rows", n), zap.Int("Progress", len(progress)),
+	l.mu.Lock()
+	l.keepOver()
+
+	for id := range progress {
+		l.keepProgress(id)
+	}
+	l.mu.Unlock()
+
+	l.c.log.Info("JobsLoaded", zap.Int64("Term", l.term), zap.Int("Rows", n), zap.Int("Progress", count),
 		zap.Int64("Version", after), zap.Duration("Took", l.c.now()-began))
 
 	return after, nil
@@ -427,7 +441,7 @@
 }
 
 // loadJobs adds the jobs of one part to the fleet. progress maps job IDs to the rows of
-// their progress.
+// their progress, which are taken out of it.
 func (l *leader) loadJobs(list []rows.Row, progress map[string][]fleet.StoredRow) {
 	cancelled := map[string]bool{}
 
@@ -441,11 +455,20 @@
 	defer l.mu.Unlock()
 
 	for _, r := range list {
-		if strings.HasSuffix(r.Key, cancelSuffix) || isRefusal(r.Value) {
+		if strings.HasSuffix(r.Key, cancelSuffix) {
 			continue
 		}
 
-		if s, over := fleet.OverState(progress[r.Key]); over {
+		if isRefusal(r.Value) {
+			l.keepRefusal(r)
+
+			continue
+		}
+
+		stored := progress[r.Key]
+		delete(progress, r.Key)
+
+		if s, over := fleet.OverState(stored); over {
 			l.fleet.AddOver(r.Key, s)
 			delete(l.versions, r.Key)
 
@@ -454,7 +477,7 @@
 
 		record, age, err := l.decodeJob(r)
 		if err == nil {
-			err = l.fleet.Load(l.c.now(), age, record, progress[r.Key], cancelled[r.Key])
+			err = l.fleet.Load(l.c.now(), age, record, stored, cancelled[r.Key])
 		}
 
 		if err != nil {
@@ -521,12 +544,19 @@
 // applyJobRow adds or cancels a job. Rows may come twice: from the feed and from the
 // coordinator that wrote them. A refusal, which may be replaced by a job, is passed over.
 func (l *leader) applyJobRow(r rows.Row) {
-	if r.Deleted || isRefusal(r.Value) {
+	if r.Deleted {
 		return
 	}
 
 	l.mu.Lock()
 	defer l.mu.Unlock()
+
+	if isRefusal(r.Value) {
+		l.keepRefusal(r)
+
+		return
+	}
+
 	defer notify(l.wake)
 
 	if id, ok := strings.CutSuffix(r.Key, cancelSuffix); ok {
