Start a gang of tasks that last again when its run has ended

Cause: gangDone marks all members as done when one is. Unlike taskDone, it didn't ask whether the tasks last.

Change: the end of a member of such a gang ends nothing.

Why it works: each member waits again once its own end is listed, and placeGang starts them together when all do, with the next attempt.

--- a/core/fleet/gang.go
+++ b/core/fleet/gang.go
@@ -82,9 +82,10 @@
 	}
 }
 
-// gangDone marks all members as done when one is: the others end by themselves.
+// gangDone marks all members as done when one is: the others end by themselves. A gang of long-running
+// tasks starts again once all of them have ended.
 func (f *Fleet) gangDone(j *jobInfo, s *stepInfo, e gate.End) {
-	if !s.spec.Gang || j.state.Final() {
+	if !s.spec.Gang || s.spec.LongRunning || j.state.Final() {
 		return
 	}
 
--- a/core/fleet/gang_test.go
+++ b/core/fleet/gang_test.go
@@ -86,6 +86,45 @@
 	assert.Equal(t, f.jobs[jobA].state, job.Succeeded, "a gang is done when one member is")
 }
 
+// TestLastingGangStartsAgain guards against a gang of tasks that last and is over after its first run: it was
+// shown as succeeded, and never ran again.
+func TestLastingGangStartsAgain(t *testing.T) {
+	tests := map[string]gate.EndReason{
+		"Done":    gate.Done,
+		"Failed":  gate.Failed,
+		"Stopped": gate.Stopped,
+		"Lapsed":  gate.Lapsed,
+	}
+
+	for name, reason := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := gangStep(2)
+			s.LongRunning = true
+
+			f := New(1)
+			f.Add(0, 0, record(jobA, s))
+			f.Report(0, "n1", described("n1"))
+
+			// More often than jobs may fail that don't last.
+			for attempt := 1; attempt <= 5; attempt++ {
+				now := time.Duration(attempt) * time.Minute
+
+				list := allStarts(f.Schedule(now, time.Time{}))
+				assert.Equal(t, len(list), 2)
+				assert.Equal(t, list[0].Attempt, attempt)
+
+				f.RecordEnd(now, "n1", memberEnd(0, attempt, reason))
+				assert.Equal(t, len(allStarts(f.Schedule(now, time.Time{}))), 0, "the other member may still run")
+
+				f.RecordEnd(now, "n1", memberEnd(1, attempt, reason))
+
+				state, _ := f.State(jobA)
+				assert.Assert(t, !state.Final(), "%s", state)
+			}
+		})
+	}
+}
+
 // TestGangFails checks that an attempt in which several members fail counts as one
 // failure.
 func TestGangFails(t *testing.T) {
