Hand over the nodes out of contact first, and don't sort nodes in each pass

Cause: read in the diff. A handover that doesn't fit into its row kept the first names of the alphabet, so that idle nodes in contact could displace the ones that the next leader waits for. And each scheduling pass sorted the names of all nodes that had not reported, 17,000 at the target size.

Change: nodes without a session come first; only the names whose time has come are sorted.

Result: TestHandoverFits now checks it, and failed with the names in the order of the alphabet.

--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -267,6 +267,7 @@
 
 	outcome := platform.OutcomeOf(err)
 	if outcome == platform.OutcomeUnstorable {
+		// The metric has no outcome of its own for it: such a request has not run either.
 		outcome = platform.OutcomeRefused
 	}
 
--- a/coordinator/handover.go
+++ b/coordinator/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -32,22 +33,19 @@
 	l.mu.Lock()
 	now := l.c.now()
 	left, _ := l.fleet.LeasesLeft(now)
+	names := l.namesToHandOver(left)
 	l.mu.Unlock()
 
-	h := handover{
-		Term:      l.term,
-		LeaseEnds: map[string]time.Duration{},
-	}
+	ends := map[string]time.Duration{}
 
-	for _, name := range slices.Sorted(maps.Keys(left)) {
-		if left[name] > 0 {
-			h.LeaseEnds[name] = l.c.storeClockAt(now + left[name])
-		} else {
-			h.LeaseEnds[name] = 0
+	for name, d := range left {
+		ends[name] = 0
+		if d > 0 {
+			ends[name] = l.c.storeClockAt(now + d)
 		}
 	}
 
-	value, err := l.encodeHandover(h)
+	value, err := l.encodeHandover(names, ends)
 	if err != nil {
 		l.c.log.Error("HandoverNotEncoded", jsonlog.Error(err))
 	}
@@ -56,27 +54,46 @@
 		Table: leadTable,
 		Key:   handoverKey,
 		Value: value,
-	}, err == nil && len(h.LeaseEnds) > 0
+	}, err == nil && len(names) > 0
 }
 
-// encodeHandover encodes as many sidecars as fit into the row.
-func (l *leader) encodeHandover(h handover) ([]byte, error) {
-	names := slices.Sorted(maps.Keys(h.LeaseEnds))
-	names = names[:min(len(names), maxAbsences)]
+// namesToHandOver returns the names of at most maxAbsences sidecars. Those without a session come first: the next
+// leader would wait for them. The caller holds l.mu.
+func (l *leader) namesToHandOver(left map[string]time.Duration) []string {
+	var connected, lost []string
 
+	for _, name := range slices.Sorted(maps.Keys(left)) {
+		if n := l.nodes[name]; n != nil && n.session != nil {
+			connected = append(connected, name)
+		} else {
+			lost = append(lost, name)
+		}
+	}
+
+	names := slices.Concat(lost, connected)
+
+	return names[:min(len(names), maxAbsences)]
+}
+
+// encodeHandover encodes as many of the first sidecars as fit into the row.
+func (l *leader) encodeHandover(names []string, ends map[string]time.Duration) ([]byte, error) {
 	for {
-		fitting := handover{
-			Term:      h.Term,
+		h := handover{
+			Term:      l.term,
 			LeaseEnds: map[string]time.Duration{},
 		}
 
 		for _, n := range names {
-			fitting.LeaseEnds[n] = h.LeaseEnds[n]
+			h.LeaseEnds[n] = ends[n]
+		}
+
+		value, err := json.Marshal(h)
+		if err != nil {
+			return nil, fmt.Errorf("encode handover: %w", err)
 		}
 
-		value, err := json.Marshal(fitting)
-		if err != nil || len(value) <= l.maxAbsenceBytes() {
-			return value, err
+		if len(value) <= l.maxAbsenceBytes() || len(names) == 0 {
+			return value, nil
 		}
 
 		names = names[:len(names)/2]
--- a/coordinator/handover_test.go
+++ b/coordinator/handover_test.go
@@ -116,7 +116,7 @@
 }
 
 // TestHandoverFits guards against a row that is larger than the store accepts: the lease would not be
-// released.
+// released. Sidecars without a session, which the next leader would wait for, come first.
 func TestHandoverFits(t *testing.T) {
 	s := emulator.NewRowStore()
 	l := newTestLeader(t, s)
@@ -127,10 +127,21 @@
 	}
 
 	l.await(names...)
+
+	last := names[len(names)-1]
+	for _, n := range names {
+		if n != last {
+			l.nodes[n].session = &peer.Session{}
+		}
+	}
+
 	assert.Assert(t, l.release(t.Context()))
 
 	next := l.succeed(t, 1)
 	assert.Assert(t, len(next.handedOver) >= 100, "%d names", len(next.handedOver))
+
+	_, listed := next.handedOver[last]
+	assert.Assert(t, listed)
 }
 
 // TestUnreadableHandover checks that sidecars are awaited in full if the row can't be decoded.
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -25,7 +25,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -232,13 +231,22 @@
 
 // stopAwaiting marks the nodes as absent whose time has come.
 func (f *Fleet) stopAwaiting(now time.Duration, deadlines map[string]time.Duration) {
-	for _, n := range slices.Sorted(maps.Keys(deadlines)) {
-		if now >= deadlines[n] {
-			f.unawaited = append(f.unawaited, n)
-			f.markAbsent(n)
-			delete(deadlines, n)
+	var passed []string
+
+	for n, deadline := range deadlines {
+		if now >= deadline {
+			passed = append(passed, n)
 		}
 	}
+
+	slices.Sort(passed)
+
+	for _, n := range passed {
+		f.markAbsent(n)
+		delete(deadlines, n)
+	}
+
+	f.unawaited = append(f.unawaited, passed...)
 }
 
 // Schedule places the tasks that may start and returns the orders that arose since
