Name the list of kept jobs in one way

Read in the diff: keepProgress was called for jobs that are over as well. Renamed to keep; the comment on rows of progress without a job stands where they are found. No change of behaviour; the tests of coordinator passed.

--- a/coordinator/leader.go
+++ b/coordinator/leader.go
@@ -382,8 +382,9 @@
 	l.mu.Lock()
 	l.keepOver()
 
+	// The rows of these jobs were removed by a leader that got no further.
 	for id := range progress {
-		l.keepProgress(id)
+		l.keep(id)
 	}
 	l.mu.Unlock()
 
--- a/coordinator/retention.go
+++ b/coordinator/retention.go
@@ -48,14 +48,12 @@
 func (l *leader) keepOver() {
 	for _, id := range l.fleet.NewlyOver() {
 		delete(l.versions, id)
-
-		l.keepProgress(id)
+		l.keep(id)
 	}
 }
 
-// keepProgress keeps rows of progress that belong to no job: the rows of the job were removed by a leader that
-// got no further. The caller holds l.mu.
-func (l *leader) keepProgress(id string) {
+// keep keeps the rows of a job that is over until its time is over. The caller holds l.mu.
+func (l *leader) keep(id string) {
 	l.kept = append(l.kept, keptJob{
 		id:    id,
 		since: l.c.now(),
