Let a job be submitted again after its cancelling was answered 410

Cause: made the refusal of a cancelled job final, since a paused entry that goes on may know of it before it reads the request that was sent earlier. That was more than is needed: callers may submit the job again.

Change: such a refusal counts as older than a request at entries that have known of its version for 30 s. Others write a refusal that isn't final, and answer 503; the next submission is accepted. Each DELETE writes the refusal anew. core/storeversion remembers which version was known since when.

--- a/coordinator/cancellations.go
+++ b/coordinator/cancellations.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 
 	"trefoildeck/internal/jsonlog"
 	"trefoildeck/io/rows"
@@ -13,14 +14,18 @@
 	"go.uber.org/zap"
 )
 
-// cancelled is the reason of a refusal that stands for a job that was cancelled before it was stored. It
-// is final: no submission replaces it.
-const cancelled = "Cancelled"
+const (
+	// cancelled is the reason of a refusal that stands for a job that was cancelled before it was stored.
+	cancelled = "Cancelled"
+	// cancelledFor is how long an entry has to know of such a refusal until it takes a submission for a later
+	// one. A request that was sent before may be held up on its way, or in the buffers of a paused entry.
+	cancelledFor = 30 * time.Second
+)
 
 // cancel writes a job's cancellation to the store. The error is platform.ErrNoJob if there is no job. It
-// can't be stored any more then, although a submission of it may be under way: its entry may be paused, or
-// its write may be in doubt. The row of the job is a final refusal, and each write of a job expects the
-// version that it replaces.
+// isn't stored any more then, although a submission of it may be under way: its entry may be paused, or
+// its write may be in doubt. The row of the job is a refusal, and each write of a job expects the version
+// that it replaces.
 func (c *Coordinator) cancel(ctx context.Context, id string) error {
 	err := c.storeCancellation(ctx, id)
 	c.log.Info("JobCancelled", zap.String("Job", id), jsonlog.Error(err))
@@ -46,10 +51,12 @@
 				Key:   id + cancelSuffix,
 				Value: []byte("{}"),
 			})
-		case isCancelled(row.Value):
+		case attempted && isCancelled(row.Value):
+			// By a write whose answer was lost, or by another cancelling.
 			return platform.ErrNoJob
 		}
 
+		// Also in place of an earlier one: the job may have been submitted again since.
 		attempted = true
 		if err = c.refuseCancelled(ctx, id, row.Version); err == nil {
 			return platform.ErrNoJob
@@ -63,7 +70,15 @@
 	return fmt.Errorf("the row was changed by others: %w", platform.ErrUnknown)
 }
 
-// refuseCancelled writes a final refusal to the row of a job, in place of a version of the row, 0 for
+// settledVersion returns the newest version of the store that this process has known of for cancelledFor.
+func (c *Coordinator) settledVersion() int64 {
+	c.versionsMu.Lock()
+	defer c.versionsMu.Unlock()
+
+	return c.versions.KnownFor(c.now(), cancelledFor)
+}
+
+// refuseCancelled writes a refusal to the row of a job, in place of a version of the row, 0 for
 // none. Its errors are those of commit.
 func (c *Coordinator) refuseCancelled(ctx context.Context, id string, version int64) error {
 	value, err := c.encodeRefusal(&platform.Refusal{Reason: cancelled})
@@ -74,7 +89,7 @@
 	return c.commitJob(ctx, id, version, value)
 }
 
-// isCancelled reports whether the value of a job's row is a final refusal.
+// isCancelled reports whether the value of a job's row is the refusal of a cancelled job.
 func isCancelled(value []byte) bool {
 	if !isRefusal(value) {
 		return false
--- a/coordinator/coordinator.go
+++ b/coordinator/coordinator.go
@@ -27,6 +27,7 @@
 	"trefoildeck/core/config"
 	"trefoildeck/core/job"
 	"trefoildeck/core/lease"
+	"trefoildeck/core/storeversion"
 	"trefoildeck/internal/jsonlog"
 	"trefoildeck/internal/metering"
 	"trefoildeck/io/boottime"
@@ -72,8 +73,11 @@
 	configuration atomic.Pointer[config.Configuration]
 	// storeVersion is the newest version of the store that this process knows of.
 	storeVersion atomic.Int64
-	admission    admission
-	draining     atomic.Bool
+	// versions says since when it knows of which, guarded by versionsMu.
+	versionsMu sync.Mutex
+	versions   storeversion.Log
+	admission  admission
+	draining   atomic.Bool
 	// offered is set once a readiness check has succeeded, so that callers may come.
 	offered atomic.Bool
 
--- a/coordinator/refusals.go
+++ b/coordinator/refusals.go
@@ -50,6 +50,8 @@
 	value []byte
 	// known is the newest version of the store that this process knew of when the request came.
 	known int64
+	// settled is the one that it had known of for cancelledFor.
+	settled int64
 	// refusal is nil if the job is admitted.
 	refusal *platform.Refusal
 }
@@ -59,8 +61,9 @@
 // no earlier write of the row can take effect, since each expects the version that it replaces. If the
 // refusal can't be stored at once, the job is accepted.
 //
-// A refusal in the row is replaced if it is known to be older than the request, unless the job was
-// cancelled. Another one may be the answer to a repetition of this request, which must stay true.
+// A refusal in the row is replaced if it is known to be older than the request. Another one may
+// be the answer to a repetition of this request, which must stay true. That of a job that was
+// cancelled has to be known for cancelledFor.
 func (c *Coordinator) storeJob(ctx context.Context, s submission) (repeated bool, err error) {
 	// later means that the row has a refusal that must stay true.
 	refusal, version, later := s.refusal, int64(0), false
@@ -94,10 +97,7 @@
 			return false, err
 		case !isRefusal(row.Value):
 			return true, nil
-		case isCancelled(row.Value):
-			// No write of this job can have an effect any more.
-			return false, &platform.Refusal{Reason: cancelled}
-		case row.Version > s.known:
+		case row.Version > s.known || (isCancelled(row.Value) && row.Version > s.settled):
 			refusal, later = cmp.Or(s.refusal, &platform.Refusal{
 				Reason:     overtaken,
 				RetryAfter: overtakenRetryAfter,
@@ -204,6 +204,10 @@
 
 // noteVersion records that the store has a version.
 func (c *Coordinator) noteVersion(version int64) {
+	c.versionsMu.Lock()
+	c.versions.Note(c.now(), version)
+	c.versionsMu.Unlock()
+
 	for {
 		known := c.storeVersion.Load()
 		if version <= known || c.storeVersion.CompareAndSwap(known, version) {
--- a/coordinator/requests.go
+++ b/coordinator/requests.go
@@ -60,7 +60,7 @@
 // repeated submission to any process therefore finds the first one and succeeds. The error is a
 // *platform.Refusal if the job was refused for the load.
 func (c *Coordinator) accept(ctx context.Context, q config.Queue, id string, s job.Spec) error {
-	known := c.storeVersion.Load()
+	known, settled := c.storeVersion.Load(), c.settledVersion()
 	now, _ := c.storeNow()
 	record := job.Record{
 		Queue:         q.Name,
@@ -89,6 +89,7 @@
 			id:      id,
 			value:   value,
 			known:   known,
+			settled: settled,
 			refusal: refusalOf(verdict),
 		})
 	}
