--- a/review/_rig3/cases.go
+++ b/review/_rig3/cases.go
@@ -7,9 +7,10 @@
 
 // cases has a function for each case, which returns whether a rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) bool{
-	"held":    heldBack,
-	"rests":   rests,
-	"removed": removed,
+	"attempts": attempts,
+	"held":     heldBack,
+	"rests":    rests,
+	"removed":  removed,
 }
 
 // newWorkers returns workers of kind a, three a rack. plan returns the plan of the runs of each.
@@ -21,6 +22,7 @@
 			id:     fmt.Sprintf("i-%c7f3", 'a'+i),
 			cpu:    cpu,
 			memory: memory,
+			zone:   "lannion",
 			labels: []string{"a", fmt.Sprintf("r1-%d", 1+i/3)},
 		}
 		w.plan = plan(w)
--- a/review/_rig3/deployment.go
+++ b/review/_rig3/deployment.go
@@ -123,7 +123,7 @@
 
 	for i := range entries {
 		ip := fmt.Sprintf("127.%d.1.%d", d.network, i+1)
-		d.entries = append(d.entries, d.newProcess("entry", fmt.Sprintf("front-%d", i+1), ip, store,
+		d.entries = append(d.entries, d.newProcess("entry", fmt.Sprintf("front-%d", i+1), "lannion", ip, store,
 			fmt.Sprintf("CallerAddress = %s:8161\nReadyAddress = %s:8167\n", ip, ip), "", 284, 0.16))
 	}
 
@@ -132,7 +132,7 @@
 		w.deployment, w.address, w.control = d, ip+":8080", ip+":8166"
 		d.serve(w.address, w)
 		d.workers = append(d.workers, w)
-		d.agents = append(d.agents, d.newProcess("agent", fmt.Sprintf("side-%d", i+1), ip, store,
+		d.agents = append(d.agents, d.newProcess("agent", fmt.Sprintf("side-%d", i+1), w.zone, ip, store,
 			fmt.Sprintf("AnnouncementAddress = %s\n", w.control),
 			fmt.Sprintf("[Worker]\nAddress = %s\nService = %s\n", w.address, service), 152, 0.24))
 	}
@@ -163,7 +163,7 @@
 }
 
 // newProcess writes the settings of a process as the platform renders deploy/node.ini.
-func (d *deployment) newProcess(role, name, ip, store, listen, worker string, memory int, share float64) *process {
+func (d *deployment) newProcess(role, name, zone, ip, store, listen, worker string, memory int, share float64) *process {
 	p := &process{
 		name:     name,
 		role:     role,
@@ -172,7 +172,7 @@
 	}
 	text := fmt.Sprintf(`[Node]
 Name = %s
-DataCentre = lannion
+DataCentre = %s
 IP = %s
 %sMetricsAddress = %s:9464
 PeerPort = 7720
@@ -198,7 +198,7 @@
 RackWaits = true
 CheckpointInterval = 2s
 RemoteFactor = 1.5
-`, name, ip, listen, ip, memory, share, store, worker)
+`, name, zone, ip, listen, ip, memory, share, store, worker)
 	d.check(os.WriteFile(p.settings, []byte(text), 0o600))
 
 	return p
--- a/review/_rig3/worker.go
+++ b/review/_rig3/worker.go
@@ -23,6 +23,7 @@
 	id          string
 	cpu, memory int
 	labels      []string
+	zone        string
 	deployment  *deployment
 	address     string
 	control     string
@@ -43,6 +44,8 @@
 	lastEnds map[string]time.Time
 	changed  chan struct{}
 	over     chan struct{}
+	// old counts the starts that were refused as old.
+	old int
 }
 
 type taskRun struct {
@@ -102,7 +105,7 @@
 	w.mu.Lock()
 	w.seq++
 	beat := map[string]any{
-		"service": service, "address": w.address, "zone": "lannion", "version": "v1", "slots": 8, "state": "ready",
+		"service": service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready",
 		"cold_left_ms": 0, "capacity": map[string]int{"cpu": w.cpu, "mem_mb": w.memory, "gpu": 0},
 		"labels": w.labels, "clock_ms": w.clock().Milliseconds(), "seq": w.seq, "born": w.born,
 	}
@@ -254,6 +257,8 @@
 	case r != nil && r.attempt == o.Attempt:
 		return ""
 	case r != nil || o.Attempt <= w.stopped[o.Task]:
+		w.old++
+
 		return "old"
 	case w.clock() >= w.deadline:
 		return "late"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of review/11 to review/13, after the build of the deploy file.
+# Builds the stand-ins of review/11 to review/14, after the build of the deploy file.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
