--- a/review/_rig3/deployment.go
+++ b/review/_rig3/deployment.go
@@ -31,6 +31,8 @@
 	*record
 	folder  string
 	network int
+	// lock is held while the network is in use.
+	lock    net.Listener
 	store   *emulator.RowStore
 	entries []*process
 	agents  []*process
@@ -56,13 +58,31 @@
 		panic(errNotRunnable(err.Error()))
 	}
 
-	return &deployment{
-		record:  r,
-		folder:  folder,
-		network: 64 + os.Getpid()%128,
-		store:   emulator.NewRowStore(),
-		sizes:   map[string][]map[string]any{},
+	d := &deployment{
+		record: r,
+		folder: folder,
+		store:  emulator.NewRowStore(),
+		sizes:  map[string][]map[string]any{},
 	}
+	d.takeNetwork()
+
+	return d
+}
+
+// takeNetwork takes a network 127.N.0.0/16 that no other run of this program uses.
+func (d *deployment) takeNetwork() {
+	for i := range 128 {
+		d.network = 64 + (os.Getpid()+i)%128
+
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.0.3:7720", d.network))
+		if err == nil {
+			d.lock = l
+
+			return
+		}
+	}
+
+	d.fail("no network is free")
 }
 
 func (d *deployment) fail(format string, args ...any) {
@@ -250,6 +270,8 @@
 		_ = s.Close()
 	}
 
+	_ = d.lock.Close()
+
 	if logs := os.Getenv("RIG3_LOGS"); logs != "" {
 		_ = os.MkdirAll(logs, 0o755)
 		_ = exec.Command("cp", "-r", d.folder+"/.", logs).Run()
--- a/review/_rig3/main.go
+++ b/review/_rig3/main.go
@@ -10,8 +10,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -66,6 +68,15 @@
 	d := newDeployment(r)
 	defer d.stop()
 
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+
+	go func() {
+		r.logf("%s", <-interrupted)
+		d.stop()
+		os.Exit(statusNotRunnable)
+	}()
+
 	defer func() {
 		switch p := recover().(type) {
 		case nil:
