--- a/review/_rig3/standin/worker.go
+++ b/review/_rig3/standin/worker.go
@@ -425,3 +425,13 @@
 	w.changed = make(chan struct{})
 	w.deployment.logf("%s: begins another life", w.id)
 }
+
+// freeCPU returns what the runs of all workers leave, in millicores.
+func (d *deployment) freeCPU() int {
+	free := 0
+	for _, w := range d.workers {
+		free += w.freeCPU(d)
+	}
+
+	return free
+}
